--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/id/InvalidNameException.java
@@ -0,0 +1,12 @@
+package org.ibissaddle.id;
+
+/** Thrown when an identifier is created from text that is not a name. */
+public final class InvalidNameException extends IllegalArgumentException {
+    private static final long serialVersionUID = 1L;
+
+    InvalidNameException(String kind, String name) {
+        super(
+                kind + " name \"" + name
+                        + "\" is not valid: use 1 to 128 letters, digits, dots, underscores, colons or hyphens, starting with a letter or digit");
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/id/package-info.java
@@ -0,0 +1,2 @@
+/** Typed identifiers of regions, availability zones, instances, requests and backend servers. */
+package org.ibissaddle.id;
