--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/id/Address.java
@@ -0,0 +1,48 @@
+package org.ibissaddle.id;
+
+import java.util.regex.Pattern;
+
+/**
+ * An IP address and TCP port. Names are not allowed: nothing of ibissaddle resolves names.
+ *
+ * @param host IPv4 number, or IPv6 number in brackets
+ * @param port TCP port, 0 to 65535; 0 lets the system choose when listening
+ */
+public record Address(String host, int port) {
+    private static final Pattern IPV4 =
+            Pattern.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)\\.){3}(25[0-5]|2[0-4]\\d|1?\\d?\\d)");
+    private static final Pattern IPV6 = Pattern.compile("\\[[0-9A-Fa-f:.]{2,45}]");
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks that the host is an IP number and the port is in range. */
+    public Address {
+        boolean number = IPV4.matcher(host).matches() || IPV6.matcher(host).matches();
+        if (!number || port < 0 || port > MAX_PORT) {
+            throw new InvalidNameException("address", host + ":" + port);
+        }
+    }
+
+    /**
+     * Reads {@code ip:port}.
+     *
+     * @param text the text to read
+     * @return the address
+     * @throws InvalidNameException when the text is not an IP number and a port
+     */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new InvalidNameException("address", text);
+        }
+        try {
+            return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new InvalidNameException("address", text);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/id/Incarnation.java
@@ -0,0 +1,43 @@
+package org.ibissaddle.id;
+
+/**
+ * One life of an instance or backend server. A restarted process has a greater incarnation.
+ *
+ * @param startedAtMs start of the process, epoch milliseconds
+ * @param nonce random number that tells apart processes started in the same millisecond
+ */
+public record Incarnation(long startedAtMs, long nonce) implements Comparable<Incarnation> {
+    /**
+     * Reads the form written by {@link #toString()}.
+     *
+     * @param text the text to read
+     * @return the incarnation
+     * @throws InvalidNameException when the text is not of that form
+     */
+    public static Incarnation parse(String text) {
+        int dash = text.indexOf('-');
+        if (dash <= 0) {
+            throw new InvalidNameException("incarnation", text);
+        }
+        try {
+            long startedAtMs = Long.parseLong(text, 0, dash, Character.MAX_RADIX);
+            long nonce = Long.parseUnsignedLong(text, dash + 1, text.length(), Character.MAX_RADIX);
+            return new Incarnation(startedAtMs, nonce);
+        } catch (NumberFormatException e) {
+            throw new InvalidNameException("incarnation", text);
+        }
+    }
+
+    @Override
+    public int compareTo(Incarnation other) {
+        int order = Long.compare(startedAtMs, other.startedAtMs);
+        return order != 0 ? order : Long.compareUnsigned(nonce, other.nonce);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(startedAtMs, Character.MAX_RADIX)
+                + "-"
+                + Long.toUnsignedString(nonce, Character.MAX_RADIX);
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/note/ReleaseNote.java
@@ -0,0 +1,117 @@
+package org.ibissaddle.note;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.ibissaddle.id.ModelId;
+import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.WorkspaceId;
+import org.ibissaddle.id.Zone;
+
+/**
+ * The whole state that a release note declares, immutable. Two notes are the same exactly when number and digest are.
+ *
+ * @param number number of the note; a higher number replaces a lower one, never the reverse
+ * @param digest SHA-256 of the canonical text, lower-case hexadecimal
+ * @param regions all regions
+ * @param zones availability zones with their regions
+ * @param pools pools of backend servers
+ * @param workspaces workspaces; a request of any other is refused
+ * @param routes rules for plain services, in order; the first that covers a call applies
+ * @param links wide-area links
+ * @param spill how far work may move between regions
+ * @param weights what the deployment weighs
+ */
+public record ReleaseNote(
+        long number,
+        String digest,
+        List<Region> regions,
+        SortedMap<Zone, Region> zones,
+        SortedMap<PoolId, Pool> pools,
+        Map<WorkspaceId, Workspace> workspaces,
+        List<Route> routes,
+        List<Link> links,
+        SpillRules spill,
+        Weights weights) {
+    /** Copies all collections. */
+    public ReleaseNote {
+        regions = List.copyOf(regions);
+        zones = Collections.unmodifiableSortedMap(new TreeMap<>(zones));
+        pools = Collections.unmodifiableSortedMap(new TreeMap<>(pools));
+        workspaces = Map.copyOf(workspaces);
+        routes = List.copyOf(routes);
+        links = List.copyOf(links);
+    }
+
+    /**
+     * Finds a workspace.
+     *
+     * @param id its name
+     * @return the workspace, empty when the note does not declare it
+     */
+    public Optional<Workspace> workspace(WorkspaceId id) {
+        return Optional.ofNullable(workspaces.get(id));
+    }
+
+    /**
+     * Finds the rule for a call of a plain service.
+     *
+     * @param method HTTP method, upper case
+     * @param path path without query
+     * @return the first rule that covers it
+     */
+    public Optional<Route> route(String method, String path) {
+        for (Route route : routes) {
+            if (route.covers(method, path)) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds the newest declared version of a model, or the version itself when the name carries one.
+     *
+     * @param name {@code model} or {@code model@version}
+     * @return the model version, empty when no pool serves it
+     */
+    public Optional<ModelId> model(String name) {
+        ModelId newest = null;
+        for (Pool pool : pools.values()) {
+            for (ModelId model : pool.models()) {
+                boolean named = model.toString().equals(name) || model.model().equals(name);
+                if (named && (newest == null || newest.compareTo(model) < 0)) {
+                    newest = model;
+                }
+            }
+        }
+        return Optional.ofNullable(newest);
+    }
+
+    /**
+     * Finds the pool that serves a model version.
+     *
+     * @param model the model version
+     * @return the first pool by name that declares it
+     */
+    public Optional<Pool> poolOf(ModelId model) {
+        return pools.values().stream()
+                .filter(pool -> pool.models().contains(model))
+                .findFirst();
+    }
+
+    /**
+     * Finds the link between two regions.
+     *
+     * @param x a region
+     * @param y another region
+     * @return their link, empty when none is declared
+     */
+    public Optional<Link> link(Region x, Region y) {
+        return links.stream().filter(link -> link.joins(x, y)).findFirst();
+    }
+}
