--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
@@ -0,0 +1,23 @@
+package org.ibissaddle.daemon.caller;
+
+import java.util.Optional;
+import org.ibissaddle.outcome.Refusal;
+
+/** What the caller port serves. */
+public interface CallerService {
+    /**
+     * Checks a request on its head alone, before its body is read. Must not block.
+     *
+     * @param head start line and header fields
+     * @return the refusal, empty when the body may be read
+     */
+    Optional<Refusal> check(RequestHead head);
+
+    /**
+     * Serves a request. Called on a thread of its own that may block.
+     *
+     * @param request the request
+     * @param reply the way back
+     */
+    void serve(CallerRequest request, CallerReply reply);
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/ControlServer.java
@@ -0,0 +1,93 @@
+package org.ibissaddle.daemon.control;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.id.Address;
+
+/** The control port: readiness, status, metrics, and the routes that other parts add. */
+public final class ControlServer implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 16 * 1024;
+    private static final int WORKERS = 8;
+    private static final int IO_THREADS = 2;
+
+    private final NettyServer server;
+
+    private ControlServer(NettyServer server) {
+        this.server = server;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param settings settings of the instance
+     * @param state note and beliefs
+     * @param metrics what {@code /metrics} shows
+     * @param routes routes of other parts
+     * @return the server, listening
+     */
+    public static ControlServer start(
+            Settings settings, SharedState state, MetricRegistry metrics, List<ControlRoutes> routes) {
+        Jooby app = new Jooby();
+        addHealth(app, state);
+        addMetrics(app, metrics);
+        routes.forEach(part -> part.addTo(app));
+        Address address = settings.controlAddress();
+        ServerOptions options = new ServerOptions()
+                .setPort(address.port())
+                .setMaxRequestSize(MAX_BODY_BYTES)
+                .setIoThreads(IO_THREADS)
+                .setWorkerThreads(WORKERS);
+        options.setHost(address.host());
+        NettyServer server = new NettyServer();
+        server.setOptions(options);
+        server.start(app);
+        return new ControlServer(server);
+    }
+
+    private static void addHealth(Jooby app, SharedState state) {
+        app.get("/live", ctx -> "live\n");
+        app.get("/ready", ctx -> ready(ctx, state));
+    }
+
+    private static String ready(Context ctx, SharedState state) {
+        Optional<String> reason = state.draining()
+                ? Optional.of("draining")
+                : state.note().isEmpty() ? Optional.of("no release note") : Optional.empty();
+        if (reason.isEmpty()) {
+            return "ready\n";
+        }
+        ctx.setResponseCode(StatusCode.SERVICE_UNAVAILABLE);
+        return "not ready: " + reason.get() + "\n";
+    }
+
+    private static void addMetrics(Jooby app, MetricRegistry metrics) {
+        ObjectMapper json =
+                new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+        app.get("/metrics", ctx -> {
+            ctx.setResponseType(MediaType.json);
+            return encode(json, metrics);
+        });
+    }
+
+    private static String encode(ObjectMapper json, Object value) throws JsonProcessingException {
+        return json.writeValueAsString(value);
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCallReader.java
@@ -0,0 +1,87 @@
+package org.ibissaddle.daemon.path;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.Optional;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.ibissaddle.outcome.RefusedException;
+
+/** Reads the body of a model call in one pass, without building a tree and without copying the prompt. */
+final class ModelCallReader {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int DEFAULT_MAX_TOKENS = 256;
+
+    private ModelCallReader() {}
+
+    /**
+     * Reads a body.
+     *
+     * @param body JSON in UTF-8
+     * @return what the gateway needs of it
+     * @throws RefusedException when it is not a well-formed model call
+     */
+    static ModelCall read(byte[] body) throws RefusedException {
+        try (JsonParser parser = JSON.createParser(body)) {
+            return read(parser);
+        } catch (IOException e) {
+            throw malformed("the body is not well-formed JSON in UTF-8");
+        }
+    }
+
+    private static ModelCall read(JsonParser parser) throws IOException, RefusedException {
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            throw malformed("the body is not a JSON object");
+        }
+        Optional<String> model = Optional.empty();
+        boolean stream = false;
+        int maxTokens = DEFAULT_MAX_TOKENS;
+        PromptHasher prompt = new PromptHasher();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String field = parser.currentName();
+            JsonToken value = parser.nextToken();
+            switch (field) {
+                case "model" -> model = Optional.ofNullable(parser.getValueAsString());
+                case "stream" -> stream = value == JsonToken.VALUE_TRUE;
+                case "max_tokens", "max_completion_tokens" -> maxTokens = positive(field, parser);
+                case "messages", "prompt" -> readPrompt(parser, prompt);
+                default -> parser.skipChildren();
+            }
+        }
+        if (parser.nextToken() != null) {
+            throw malformed("the body has text behind its JSON object");
+        }
+        if (model.isEmpty()) {
+            throw malformed("field \"model\" is missing");
+        }
+        return new ModelCall(model.get(), stream, maxTokens, prompt.tokens(), prompt.chain());
+    }
+
+    private static int positive(String field, JsonParser parser) throws IOException, RefusedException {
+        if (parser.currentToken() != JsonToken.VALUE_NUMBER_INT || parser.getLongValue() <= 0) {
+            throw malformed("field \"" + field + "\" is not a whole number above 0");
+        }
+        return (int) Math.min(Integer.MAX_VALUE, parser.getLongValue());
+    }
+
+    private static void readPrompt(JsonParser parser, PromptHasher prompt) throws IOException {
+        int depth = 0;
+        do {
+            JsonToken token = parser.currentToken();
+            if (token.isStructStart()) {
+                depth++;
+            } else if (token.isStructEnd()) {
+                depth--;
+            } else if (token == JsonToken.VALUE_STRING && !"role".equals(parser.currentName())) {
+                prompt.add(parser.getTextCharacters(), parser.getTextOffset(), parser.getTextLength());
+            }
+        } while (depth > 0 && parser.nextToken() != null);
+    }
+
+    private static RefusedException malformed(String message) {
+        return new RefusedException(Refusal.of(RefusalType.MALFORMED_REQUEST, message, Fate.NOT_RUN));
+    }
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -0,0 +1,125 @@
+package org.ibissaddle.daemon.path;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import org.ibissaddle.daemon.caller.CallerGoneException;
+import org.ibissaddle.daemon.caller.CallerReply;
+import org.ibissaddle.daemon.caller.CallerRequest;
+import org.ibissaddle.daemon.caller.CallerService;
+import org.ibissaddle.daemon.caller.RefusalJson;
+import org.ibissaddle.daemon.caller.RequestHead;
+import org.ibissaddle.daemon.log.EventLog;
+import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.ibissaddle.outcome.RefusedException;
+import org.ibissaddle.port.Clock;
+
+/** The way of a request: admit and bind on its head, then place, dispatch, relay and account. */
+public final class RequestPath implements CallerService {
+    private static final String MODELS_PATH = "/v1/models";
+
+    private final SharedState state;
+    private final Binding binding;
+    private final ModelCalls modelCalls;
+    private final ServiceCalls serviceCalls;
+    private final Clock clock;
+    private final EventLog log;
+
+    /**
+     * Creates the path.
+     *
+     * @param state note and beliefs
+     * @param binding check of the workspace's binding
+     * @param modelCalls how model calls are served
+     * @param serviceCalls how calls of plain services are served
+     * @param clock source of time
+     * @param log log of the instance
+     */
+    public RequestPath(
+            SharedState state,
+            Binding binding,
+            ModelCalls modelCalls,
+            ServiceCalls serviceCalls,
+            Clock clock,
+            EventLog log) {
+        this.state = state;
+        this.binding = binding;
+        this.modelCalls = modelCalls;
+        this.serviceCalls = serviceCalls;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    @Override
+    public Optional<Refusal> check(RequestHead head) {
+        try {
+            if (!isModelList(head)) {
+                binding.require(head);
+                requireRoute(head);
+            }
+            return Optional.empty();
+        } catch (RefusedException e) {
+            logRefusal(e.refusal());
+            return Optional.of(e.refusal());
+        }
+    }
+
+    @Override
+    public void serve(CallerRequest request, CallerReply reply) {
+        try {
+            route(request, reply);
+        } catch (RefusedException e) {
+            refuse(reply, e.refusal());
+        } catch (CallerGoneException e) {
+            log.fine("caller-gone", "path", request.head().path());
+        } catch (IOException | RuntimeException e) {
+            log.warning("request-failed", "path", request.head().path(), "cause", e);
+            refuse(reply, Refusal.of(RefusalType.INTERNAL, "the gateway failed to serve the request", Fate.UNKNOWN));
+        }
+    }
+
+    private void route(CallerRequest request, CallerReply reply) throws RefusedException, IOException {
+        if (isModelList(request.head())) {
+            modelCalls.list(reply);
+        } else if (ModelCalls.covers(request.head())) {
+            modelCalls.serve(request, binding.require(request.head()), reply);
+        } else {
+            serviceCalls.serve(request, binding.require(request.head()), reply);
+        }
+    }
+
+    private void requireRoute(RequestHead head) throws RefusedException {
+        if (ModelCalls.covers(head)) {
+            return;
+        }
+        if (state.note().orElseThrow().route(head.method(), head.path()).isEmpty()) {
+            String message = "call \"" + head.method() + " " + head.path() + "\" is not declared by the note";
+            throw new RefusedException(Refusal.of(RefusalType.UNKNOWN_ROUTE, message, Fate.NOT_RUN));
+        }
+    }
+
+    private static boolean isModelList(RequestHead head) {
+        return head.method().equals("GET") && head.path().equals(MODELS_PATH);
+    }
+
+    private void refuse(CallerReply reply, Refusal refusal) {
+        logRefusal(refusal);
+        if (reply.started()) {
+            reply.abort();
+            return;
+        }
+        try {
+            Map<String, String> headers = RefusalJson.headers(refusal, clock.nowMs());
+            reply.whole(refusal.type().status(), headers, RefusalJson.encode(refusal));
+        } catch (IOException e) {
+            log.fine("caller-gone", "refusal", refusal.type().word());
+        }
+    }
+
+    private void logRefusal(Refusal refusal) {
+        log.info("refused", "type", refusal.type().word(), "ran", refusal.fate().word());
+    }
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Reading what the platform publishes. */
+package org.ibissaddle.daemon.platform;
