--- a/ibissaddle-core/src/main/java/org/ibissaddle/note/ReleaseNote.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/note/ReleaseNote.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.ibissaddle.id.AdapterId;
 import org.ibissaddle.id.ModelId;
 import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
@@ -25,6 +26,8 @@
  * @param links wide-area links
  * @param spill how far work may move between regions
  * @param weights what the deployment weighs
+ * @param adapters adapters of the model versions
+ * @param store the weight store
  */
 public record ReleaseNote(
         long number,
@@ -36,7 +39,9 @@
         List<Route> routes,
         List<Link> links,
         SpillRules spill,
-        Weights weights) {
+        Weights weights,
+        SortedMap<AdapterId, Adapter> adapters,
+        WeightStore store) {
     /** Copies all collections. */
     public ReleaseNote {
         regions = List.copyOf(regions);
@@ -45,6 +50,47 @@
         workspaces = Map.copyOf(workspaces);
         routes = List.copyOf(routes);
         links = List.copyOf(links);
+        adapters = Collections.unmodifiableSortedMap(new TreeMap<>(adapters));
+    }
+
+    /**
+     * A note without adapters and with the default weight store.
+     *
+     * @param number number of the note
+     * @param digest SHA-256 of the canonical text
+     * @param regions all regions
+     * @param zones availability zones with their regions
+     * @param pools pools of backend servers
+     * @param workspaces workspaces
+     * @param routes rules for plain services
+     * @param links wide-area links
+     * @param spill how far work may move between regions
+     * @param weights what the deployment weighs
+     */
+    public ReleaseNote(
+            long number,
+            String digest,
+            List<Region> regions,
+            SortedMap<Zone, Region> zones,
+            SortedMap<PoolId, Pool> pools,
+            Map<WorkspaceId, Workspace> workspaces,
+            List<Route> routes,
+            List<Link> links,
+            SpillRules spill,
+            Weights weights) {
+        this(
+                number,
+                digest,
+                regions,
+                zones,
+                pools,
+                workspaces,
+                routes,
+                links,
+                spill,
+                weights,
+                new TreeMap<>(),
+                WeightStore.DEFAULT);
     }
 
     /**
