--- /dev/null
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ConfigCheckCommand.java
@@ -0,0 +1,46 @@
+package org.ibissaddle.cli;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.ibissaddle.daemon.settings.SettingsException;
+import org.ibissaddle.daemon.settings.SettingsReader;
+
+/** Checks a settings file and prints every fault. */
+final class ConfigCheckCommand implements Command {
+    @Override
+    public String name() {
+        return "config check";
+    }
+
+    @Override
+    public String arguments() {
+        return "FILE";
+    }
+
+    @Override
+    public String summary() {
+        return "Checks a settings file and names every fault.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options();
+    }
+
+    @Override
+    public int run(CommandLine line, PrintStream out) throws UsageException, CommandFailedException {
+        if (line.getArgList().size() != 1) {
+            throw new UsageException("give exactly one FILE");
+        }
+        String file = line.getArgList().get(0);
+        try {
+            SettingsReader.read(Path.of(file));
+            out.println(file + ": ok");
+            return 0;
+        } catch (SettingsException e) {
+            throw new CommandFailedException(e.faults().size() + " faults:\n" + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
@@ -0,0 +1,71 @@
+package org.ibissaddle.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.ibissaddle.daemon.Daemon;
+import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.daemon.settings.SettingsException;
+import org.ibissaddle.daemon.settings.SettingsReader;
+
+/** Runs an entry instance until it is told to leave. */
+final class ServeCommand implements Command {
+    @Override
+    public String name() {
+        return "serve";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "Runs an entry instance; SIGTERM drains it, a second signal ends it at once.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("config")
+                        .hasArg()
+                        .argName("FILE")
+                        .required()
+                        .desc("settings in INI")
+                        .get());
+    }
+
+    @Override
+    public int run(CommandLine line, PrintStream out) throws CommandFailedException {
+        Settings settings = settings(Path.of(line.getOptionValue("config")));
+        Logging.configure(settings.logLevel());
+        try (Daemon daemon = Daemon.start(settings, System::currentTimeMillis)) {
+            CountDownLatch stopped = new CountDownLatch(1);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                daemon.drain();
+                stopped.countDown();
+            }));
+            stopped.await();
+            return 0;
+        } catch (IOException e) {
+            throw new CommandFailedException(e.getMessage(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
+    private static Settings settings(Path file) throws CommandFailedException {
+        try {
+            return SettingsReader.read(file);
+        } catch (SettingsException e) {
+            throw new CommandFailedException(e.faults().size() + " faults:\n" + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. Start with {@link org.ibissaddle.cli.Main}. */
+package org.ibissaddle.cli;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -22,6 +22,9 @@
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.note.NoteReader;
+import org.ibissaddle.note.NoteRejectedException;
+import org.ibissaddle.note.ReleaseNote;
 import org.ibissaddle.outcome.Fate;
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
@@ -80,11 +83,20 @@
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), path, clock);
         ControlServer control = ControlServer.start(
                 settings, state, metrics, List.of(new StatusRoute(settings, state), new AskRoute(state, clock)));
-        PlatformPoller platform = new PlatformPoller(settings, state, text -> Optional.empty(), engines, clock, log);
+        PlatformPoller platform = new PlatformPoller(settings, state, text -> note(text, log), engines, clock, log);
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
         return new Daemon(state, engines, callers, control, platform, log);
     }
 
+    private static Optional<ReleaseNote> note(String text, EventLog log) {
+        try {
+            return Optional.of(NoteReader.read(text));
+        } catch (NoteRejectedException e) {
+            log.warning("note-refused", "cause", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private static void noTicket(
             org.ibissaddle.daemon.caller.CallerRequest request,
             org.ibissaddle.note.Workspace workspace,
