--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/AnswerText.java
@@ -0,0 +1,42 @@
+package org.ibissaddle.standins;
+
+import java.util.SplittableRandom;
+import java.util.StringJoiner;
+
+/** The text that every engine stand-in answers: a deterministic function of model and prompt. */
+public final class AnswerText {
+    /** The number of words in an answer whose request sets no limit. */
+    public static final int DEFAULT_WORDS = 64;
+
+    private static final String[] SYLLABLES = {
+        "ka", "ri", "to", "mel", "sha", "no", "vu", "dör", "žil", "ба", "сайн", "köš", "lin", "pe", "ᠮᠣ", "枕木", "🧸",
+        "ge"
+    };
+    private static final int MAX_SYLLABLES = 3;
+
+    private AnswerText() {}
+
+    /**
+     * Returns the whole answer; one with fewer words is a prefix of one with more.
+     *
+     * @param maxTokens the number of words; 0 or less takes {@link #DEFAULT_WORDS}
+     */
+    public static String answerFor(String model, String prompt, int maxTokens) {
+        SplittableRandom random = new SplittableRandom(PromptBlocks.hash(PromptBlocks.hash(0, model), prompt));
+        int words = maxTokens > 0 ? maxTokens : DEFAULT_WORDS;
+        StringJoiner text = new StringJoiner(" ");
+        for (int i = 0; i < words; i++) {
+            text.add(word(random));
+        }
+        return text.toString();
+    }
+
+    private static String word(SplittableRandom random) {
+        int syllables = 1 + random.nextInt(MAX_SYLLABLES);
+        StringBuilder word = new StringBuilder();
+        for (int i = 0; i < syllables; i++) {
+            word.append(SYLLABLES[random.nextInt(SYLLABLES.length)]);
+        }
+        return word.toString();
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/EngineOrder.java
@@ -0,0 +1,21 @@
+package org.ibissaddle.standins;
+
+import java.util.Optional;
+
+/**
+ * An order to an engine.
+ *
+ * @param token the fencing token
+ * @param kind {@code load}, {@code unload} or {@code role}
+ * @param model the model to load or unload
+ * @param version the model's version
+ * @param adapter the adapter to load or unload
+ * @param role the role to take
+ */
+public record EngineOrder(
+        long token,
+        String kind,
+        Optional<String> model,
+        Optional<String> version,
+        Optional<String> adapter,
+        Optional<String> role) {}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/EngineStandin.java
@@ -0,0 +1,253 @@
+package org.ibissaddle.standins;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.standins.internal.Incarnation;
+import org.ibissaddle.standins.internal.Json;
+import org.ibissaddle.standins.internal.engine.AnswerWriter;
+import org.ibissaddle.standins.internal.engine.CompletionRequest;
+import org.ibissaddle.standins.internal.engine.EngineCore;
+import org.ibissaddle.standins.internal.engine.EngineCounters;
+import org.ibissaddle.standins.internal.engine.EventStream;
+import org.ibissaddle.standins.internal.engine.Generation;
+import org.ibissaddle.standins.internal.engine.JsonAnswer;
+import org.ibissaddle.standins.internal.engine.KvTransfer;
+import org.ibissaddle.standins.internal.engine.Timer;
+import org.ibissaddle.standins.internal.http.Exchange;
+import org.ibissaddle.standins.internal.http.RefusedException;
+import org.ibissaddle.standins.internal.http.Reply;
+
+/**
+ * A model engine that batches continuously and caches prompt prefixes. Its answers are those of {@link AnswerText}, so
+ * that every engine gives the same answer to the same request; {@code max_tokens} limits the whole answer, that part
+ * included which {@code continue_text} brings.
+ */
+public final class EngineStandin extends HttpStandin {
+    private static final int KILLED_EXIT_CODE = 137;
+
+    private final EngineOptions options;
+    private final EngineCounters counters = new EngineCounters();
+    private final Timer timer = this::runAt;
+    private EngineCore core;
+    private long incarnation;
+    private long unnamedRequests;
+    private volatile boolean crashed;
+
+    /** Prepares an engine; {@link #start()} makes it listen. */
+    public EngineStandin(EngineOptions options, EventLoopGroup group) {
+        super(options.name(), options.port(), group);
+        this.options = options;
+        this.core = newCore();
+    }
+
+    @Override
+    public void start() throws StandinStartException {
+        crashed = false;
+        super.start();
+    }
+
+    @Override
+    public void close() {
+        onLoop(() -> {
+            core.stop();
+            return true;
+        });
+        super.close();
+    }
+
+    /** Starts again after a crash or a close: at the same port, with an empty cache and a higher incarnation. */
+    public void restart() throws StandinStartException {
+        close();
+        onLoop(() -> core = newCore());
+        start();
+    }
+
+    /** Whether the engine has crashed and not been restarted. */
+    public boolean crashed() {
+        return crashed;
+    }
+
+    /** Crashes the engine: all connections are reset and the port is closed. */
+    public void crash() {
+        onLoop(() -> {
+            crashNow();
+            return true;
+        });
+    }
+
+    /** Replaces the faults. */
+    public void setFaults(EngineFaults faults) {
+        onLoop(() -> {
+            core.setFaults(faults);
+            return true;
+        });
+    }
+
+    /** The faults still in force. */
+    public EngineFaults faults() {
+        return onLoop(() -> core.faults());
+    }
+
+    /** What the engine has done so far. */
+    public EngineStats stats() {
+        return onLoop(counters::snapshot);
+    }
+
+    @Override
+    protected void handle(Exchange exchange) throws RefusedException {
+        List<String> path = exchange.segments();
+        switch (path.getFirst()) {
+            case "v1" -> handleModelCall(exchange);
+            case "load" -> exchange.reply(Reply.json(200, core.load()));
+            case "cache-events" -> {
+                long after = exchange.queryNumber("after").orElse(0L);
+                exchange.reply(Reply.json(200, core.cacheEvents(after)));
+            }
+            case "orders" -> order(exchange);
+            case "kv" -> keyValues(exchange, path.getLast());
+            case "control" -> control(exchange);
+            case "stats" -> exchange.reply(Reply.json(200, counters.snapshot()));
+            default -> throw noSuchCall(exchange);
+        }
+    }
+
+    private void handleModelCall(Exchange exchange) throws RefusedException {
+        switch (exchange.path()) {
+            case "/v1/chat/completions" -> complete(exchange, true);
+            case "/v1/completions" -> complete(exchange, false);
+            case "/v1/models" ->
+                exchange.reply(Reply.json(200, ModelList.of(core.residency().models())));
+            default -> stream(exchange);
+        }
+    }
+
+    private void complete(Exchange exchange, boolean chat) throws RefusedException {
+        CompletionRequest request = CompletionRequest.of(exchange, chat, "unnamed-" + unnamedRequests++);
+        core.checkAdmission(request);
+        Generation generation = core.submit(request);
+        if (request.stream()) {
+            attach(
+                    generation,
+                    exchange,
+                    openStream(generation, exchange, request.continueText().length()));
+            return;
+        }
+        attach(generation, exchange, new JsonAnswer(generation, exchange, core.takeStreamFaults(), timer));
+    }
+
+    private void stream(Exchange exchange) throws RefusedException {
+        List<String> path = exchange.segments();
+        if (path.size() != 3 || !path.get(1).equals("streams")) {
+            throw noSuchCall(exchange);
+        }
+        String id = path.getLast();
+        Generation generation = core.find(id)
+                .orElseThrow(() -> RefusedException.notFound(
+                        "stream \"" + id + "\" is not known to server \"" + options.name() + "\""));
+        if (exchange.method().equals("DELETE")) {
+            core.cancel(generation);
+            exchange.reply(Reply.empty(204));
+            return;
+        }
+        resume(exchange, generation);
+    }
+
+    private void resume(Exchange exchange, Generation generation) throws RefusedException {
+        long offset = exchange.queryNumber("offset").orElse(0L);
+        if (generation.isBadOffset(offset)) {
+            throw RefusedException.badRequest("offset " + offset + " of stream \""
+                    + generation.request().id() + "\" is outside its answer or inside a character");
+        }
+        attach(generation, exchange, openStream(generation, exchange, (int) offset));
+    }
+
+    private EventStream openStream(Generation generation, Exchange exchange, int offset) {
+        return EventStream.open(generation, exchange, core.takeStreamFaults(), offset, timer);
+    }
+
+    private void attach(Generation generation, Exchange exchange, AnswerWriter writer) {
+        EngineCore current = core;
+        generation.attach(writer);
+        exchange.onClose(() -> current.connectionLost(generation, writer));
+        writer.advance();
+    }
+
+    private void order(Exchange exchange) throws RefusedException {
+        EngineOrder order = Json.parse(exchange.body(), EngineOrder.class);
+        core.residency().accept(order);
+        EngineCore current = core;
+        later(options.orderDelayMs(), () -> apply(exchange, current, order));
+    }
+
+    private void apply(Exchange exchange, EngineCore current, EngineOrder order) {
+        try {
+            current.residency().accept(order);
+            current.residency().apply(order);
+        } catch (RefusedException e) {
+            exchange.reply(e.toReply());
+            return;
+        }
+        counters.applied(order);
+        current.recordLoad();
+        exchange.reply(Reply.json(200, new Applied(true)));
+    }
+
+    private void keyValues(Exchange exchange, String block) throws RefusedException {
+        if (exchange.method().equals("PUT")) {
+            core.cache().store(KvTransfer.parse(block, exchange.body()));
+            core.recordLoad();
+            exchange.reply(Reply.empty(204));
+            return;
+        }
+        List<String> chain = core.cache()
+                .chain(block)
+                .orElseThrow(() -> RefusedException.notFound(
+                        "block \"" + block + "\" is not cached on server \"" + options.name() + "\""));
+        exchange.reply(Reply.bytes(200, KvTransfer.export(chain, options.kvBytesPerBlock())));
+    }
+
+    private void control(Exchange exchange) throws RefusedException {
+        core.setFaults(Json.merge(core.faults(), exchange.body(), EngineFaults.class));
+        exchange.reply(Reply.json(200, core.faults()));
+    }
+
+    private EngineCore newCore() {
+        incarnation = Incarnation.next(incarnation);
+        return new EngineCore(options, loop(), counters, incarnation, this::crashNow);
+    }
+
+    private void crashNow() {
+        if (options.haltOnCrash()) {
+            Runtime.getRuntime().halt(KILLED_EXIT_CODE);
+        }
+        core.stop();
+        counters.crashed();
+        abort();
+        crashed = true;
+    }
+
+    private void runAt(long atMs, Runnable action) {
+        long delayMs = atMs - System.currentTimeMillis();
+        if (delayMs <= 0) {
+            action.run();
+            return;
+        }
+        var unused = loop().schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private static RefusedException noSuchCall(Exchange exchange) {
+        return RefusedException.notFound("call \"" + exchange.method() + " " + exchange.path() + "\" does not exist");
+    }
+
+    private record Applied(boolean applied) {}
+
+    private record ModelList(String object, List<Model> data) {
+        static ModelList of(List<String> ids) {
+            return new ModelList(
+                    "list", ids.stream().map(id -> new Model(id, "model")).toList());
+        }
+    }
+
+    private record Model(String id, String object) {}
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
@@ -0,0 +1,156 @@
+package org.ibissaddle.standins;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.standins.internal.http.Exchange;
+import org.ibissaddle.standins.internal.http.ExchangeHandler;
+import org.ibissaddle.standins.internal.http.RefusedException;
+
+/** Base of the stand-ins: an HTTP/1.1 server on the loopback interface, whose state lives on one event loop. */
+public abstract class HttpStandin implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_LINE_BYTES = 64 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    private final String name;
+    private final EventLoop loop;
+    private final ChannelGroup connections;
+    private volatile int port;
+    private volatile Optional<Channel> listener = Optional.empty();
+
+    /**
+     * Prepares a stand-in that does not listen yet.
+     *
+     * @param name the name used in messages
+     * @param port the port to listen on; 0 takes a free one
+     * @param group the event loops, of which the stand-in uses one
+     */
+    protected HttpStandin(String name, int port, EventLoopGroup group) {
+        this.name = name;
+        this.port = port;
+        this.loop = group.next();
+        this.connections = new DefaultChannelGroup(loop);
+    }
+
+    /** Creates event loops on the NIO transport; the caller shuts them down. */
+    public static EventLoopGroup newEventLoops(int threads) {
+        return new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+    }
+
+    /** Starts listening; after a {@link #close()} the same port is taken again. */
+    public void start() throws StandinStartException {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ConnectionSetup())
+                .bind(InetAddress.getLoopbackAddress(), port)
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new StandinStartException(name, port, bound.cause());
+        }
+        listener = Optional.of(bound.channel());
+        port = address().getPort();
+    }
+
+    /** The name used in messages. */
+    public final String name() {
+        return name;
+    }
+
+    /** The address that the stand-in listens on. */
+    public final InetSocketAddress address() {
+        Channel channel =
+                listener.orElseThrow(() -> new IllegalStateException("stand-in \"" + name + "\" has not been started"));
+        return channel.localAddress() instanceof InetSocketAddress address
+                ? address
+                : new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Stops listening and closes all connections. */
+    @Override
+    public void close() {
+        listener.ifPresent(channel -> channel.close().awaitUninterruptibly());
+        connections.close().awaitUninterruptibly();
+    }
+
+    /** Answers one request; runs on the event loop and must not block. */
+    protected abstract void handle(Exchange exchange) throws RefusedException;
+
+    /** After how many idle milliseconds a connection closes; 0 for never. */
+    protected long idleLimitMs() {
+        return 0;
+    }
+
+    /** Stops listening and resets all connections, without waiting. */
+    protected final void abort() {
+        listener.ifPresent(channel -> {
+            var unused = channel.close();
+        });
+        connections.forEach(Exchange::resetChannel);
+    }
+
+    /** The event loop that all state of the stand-in lives on. */
+    protected final EventLoop loop() {
+        return loop;
+    }
+
+    /** Runs an action on the event loop after a delay. */
+    protected final void later(long delayMs, Runnable action) {
+        var unused = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a read or change of the state on the event loop and waits for its result. */
+    protected final <T> T onLoop(Callable<T> action) {
+        if (!loop.inEventLoop()) {
+            return loop.submit(action).syncUninterruptibly().getNow();
+        }
+        try {
+            return action.call();
+        } catch (Exception e) {
+            throw new IllegalStateException("stand-in \"" + name + "\" failed", e);
+        }
+    }
+
+    private void dispatch(Exchange exchange) {
+        try {
+            handle(exchange);
+        } catch (RefusedException e) {
+            exchange.reply(e.toReply());
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("event=handler-failed standin=%s path=%s", name, exchange.path());
+            exchange.reset();
+        }
+    }
+
+    private final class ConnectionSetup extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            connections.add(channel);
+            channel.pipeline()
+                    .addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_LINE_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                    .addLast(new ExchangeHandler(HttpStandin.this::dispatch, HttpStandin.this::idleLimitMs));
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/PlatformStandin.java
@@ -0,0 +1,277 @@
+package org.ibissaddle.standins;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.ibissaddle.standins.internal.Json;
+import org.ibissaddle.standins.internal.Lagging;
+import org.ibissaddle.standins.internal.http.Exchange;
+import org.ibissaddle.standins.internal.http.Ran;
+import org.ibissaddle.standins.internal.http.RefusedException;
+import org.ibissaddle.standins.internal.http.Reply;
+import org.ibissaddle.standins.internal.platform.ConfigStore;
+import org.ibissaddle.standins.internal.platform.InstanceList;
+import org.ibissaddle.standins.internal.platform.ReadBudget;
+import org.ibissaddle.standins.internal.platform.ReadMeter;
+import org.ibissaddle.standins.internal.platform.WeightStore;
+
+/**
+ * The platform: configuration that can be read and watched, the instance list, the directory and the weight store.
+ * Reads of configuration, instances and directory share the read budget, refused ones included in the meter.
+ */
+public final class PlatformStandin extends HttpStandin {
+    /** The largest configuration value in bytes. */
+    public static final int MAX_VALUE_BYTES = 1_000_000;
+
+    private static final String REVISION_HEADER = "X-Revision";
+
+    private final PlatformOptions options;
+    private final ConfigStore config = new ConfigStore();
+    private final List<Watch> watches = new ArrayList<>();
+    private final TreeMap<String, InstanceEntry> entries = new TreeMap<>();
+    private final Lagging<InstanceList> instances;
+    private final WeightStore weights;
+    private final ReadBudget budget = new ReadBudget();
+    private final ReadMeter meter = new ReadMeter();
+    private final Map<String, Integer> reads = new TreeMap<>();
+    private PlatformFaults faults = PlatformFaults.none();
+    private long instancesRevision;
+    private long refusedReads;
+
+    /** Prepares a platform; {@link #start()} makes it listen. */
+    public PlatformStandin(PlatformOptions options, EventLoopGroup group) {
+        super(options.name(), options.port(), group);
+        this.options = options;
+        this.instances = new Lagging<>(options.instanceLagMs());
+        this.weights = new WeightStore(loop(), () -> faults.weightBytesPerSecond());
+        recordInstances();
+    }
+
+    /** Publishes a configuration value and returns its revision. */
+    public long putConfig(String name, byte[] value) {
+        return onLoop(() -> publish(name, value));
+    }
+
+    /** Adds or replaces an entry of the instance list. */
+    public void putInstance(InstanceEntry entry) {
+        onLoop(() -> {
+            entries.put(entry.name(), entry);
+            return recordInstances();
+        });
+    }
+
+    /** Removes an entry of the instance list. */
+    public void removeInstance(String name) {
+        onLoop(() -> {
+            entries.remove(name);
+            return recordInstances();
+        });
+    }
+
+    /** Publishes weights of a size in bytes. */
+    public void putWeights(String model, String version, long bytes) {
+        onLoop(() -> {
+            weights.publish(model + "/" + version, bytes);
+            return true;
+        });
+    }
+
+    /** Replaces the limits and faults. */
+    public void setFaults(PlatformFaults next) {
+        onLoop(() -> applyFaults(next));
+    }
+
+    /** The limits and faults in force. */
+    public PlatformFaults faults() {
+        return onLoop(() -> faults);
+    }
+
+    /** What the platform has done so far. */
+    public PlatformStats stats() {
+        return onLoop(this::snapshot);
+    }
+
+    @Override
+    protected void handle(Exchange exchange) throws RefusedException {
+        List<String> path = exchange.segments();
+        switch (path.getFirst()) {
+            case "control" -> {
+                applyFaults(Json.merge(faults, exchange.body(), PlatformFaults.class));
+                exchange.reply(Reply.json(200, faults));
+            }
+            case "stats" -> exchange.reply(Reply.json(200, snapshot()));
+            default -> handlePublic(exchange, path);
+        }
+    }
+
+    private void handlePublic(Exchange exchange, List<String> path) throws RefusedException {
+        switch (faults.outage()) {
+            case RESET -> exchange.reset();
+            case UNAVAILABLE ->
+                throw new RefusedException(
+                        503, "outage", Ran.NOT_RUN, "platform \"" + options.name() + "\" is not available");
+            case NONE -> route(exchange, path);
+            default -> throw new IllegalStateException("outage " + faults.outage());
+        }
+    }
+
+    private void route(Exchange exchange, List<String> path) throws RefusedException {
+        String kind = path.getFirst();
+        boolean write = !exchange.method().equals("GET");
+        if (kind.equals("config") && path.size() == 2) {
+            configCall(exchange, path.get(1), write);
+        } else if (kind.equals("instances") && path.size() == 2 && write) {
+            changeInstance(exchange, path.get(1));
+        } else if (kind.equals("instances") && path.size() == 1) {
+            countRead("/instances");
+            exchange.reply(Reply.json(200, visibleInstances()));
+        } else if (kind.equals("directory")) {
+            countRead("/directory");
+            exchange.reply(Reply.json(200, visibleInstances().directory()));
+        } else if (kind.equals("weights") && path.size() == 3) {
+            weightCall(exchange, path.get(1) + "/" + path.get(2), write);
+        } else {
+            throw RefusedException.notFound(
+                    "call \"" + exchange.method() + " " + exchange.path() + "\" does not exist");
+        }
+    }
+
+    private void configCall(Exchange exchange, String name, boolean write) throws RefusedException {
+        if (write) {
+            publishCall(exchange, name);
+            return;
+        }
+        countRead(name);
+        Optional<Long> after = exchange.queryNumber("after");
+        if (after.isPresent()) {
+            watch(exchange, name, after.get());
+            return;
+        }
+        exchange.reply(visible(name)
+                .map(PlatformStandin::valueReply)
+                .orElseThrow(() -> RefusedException.notFound("configuration value \"" + name + "\" does not exist")));
+    }
+
+    private void publishCall(Exchange exchange, String name) throws RefusedException {
+        if (exchange.body().length > MAX_VALUE_BYTES) {
+            throw new RefusedException(
+                    413,
+                    "value-too-large",
+                    Ran.NOT_RUN,
+                    "configuration value \"" + name + "\" is larger than " + MAX_VALUE_BYTES + " bytes");
+        }
+        exchange.reply(Reply.json(200, new Published(publish(name, exchange.body()))));
+    }
+
+    private long publish(String name, byte[] value) {
+        long revision = config.put(name, value, System.currentTimeMillis());
+        later(faults.stalenessMs(), this::answerWatches);
+        return revision;
+    }
+
+    private void watch(Exchange exchange, String name, long after) throws RefusedException {
+        Watch watch = new Watch(exchange, name, after);
+        if (answer(watch)) {
+            return;
+        }
+        watches.add(watch);
+        exchange.onClose(() -> watches.remove(watch));
+        later(exchange.queryNumber("wait_ms").orElse(0L), () -> expire(watch));
+    }
+
+    private void expire(Watch watch) {
+        if (watches.remove(watch)) {
+            watch.exchange().reply(Reply.empty(304));
+        }
+    }
+
+    private void answerWatches() {
+        watches.removeIf(this::answer);
+    }
+
+    private boolean answer(Watch watch) {
+        Optional<ConfigStore.Version> newer =
+                visible(watch.name()).filter(version -> version.revision() > watch.after());
+        newer.ifPresent(version -> watch.exchange().reply(valueReply(version)));
+        return newer.isPresent();
+    }
+
+    private Optional<ConfigStore.Version> visible(String name) {
+        return config.visible(name, System.currentTimeMillis() - faults.stalenessMs(), faults.maxRevision());
+    }
+
+    private static Reply valueReply(ConfigStore.Version version) {
+        return Reply.bytes(200, version.value()).withHeader(REVISION_HEADER, Long.toString(version.revision()));
+    }
+
+    private void changeInstance(Exchange exchange, String name) throws RefusedException {
+        if (exchange.method().equals("DELETE")) {
+            entries.remove(name);
+        } else {
+            entries.put(name, Json.parse(exchange.body(), InstanceEntry.class));
+        }
+        exchange.reply(Reply.json(200, new Published(recordInstances())));
+    }
+
+    private long recordInstances() {
+        instancesRevision++;
+        instances.record(System.currentTimeMillis(), InstanceList.of(instancesRevision, entries));
+        return instancesRevision;
+    }
+
+    private InstanceList visibleInstances() {
+        return instances
+                .at(System.currentTimeMillis() - options.instanceLagMs())
+                .orElseGet(() -> InstanceList.of(instancesRevision, entries));
+    }
+
+    private void weightCall(Exchange exchange, String key, boolean write) throws RefusedException {
+        if (write) {
+            weights.publish(key, Json.parse(exchange.body(), WeightSize.class).bytes());
+            exchange.reply(Reply.empty(204));
+            return;
+        }
+        long bytes =
+                weights.size(key).orElseThrow(() -> RefusedException.notFound("weights \"" + key + "\" do not exist"));
+        weights.send(key, bytes, exchange);
+    }
+
+    private void countRead(String name) throws RefusedException {
+        long now = System.nanoTime();
+        meter.mark(now);
+        reads.merge(name, 1, Integer::sum);
+        if (!budget.take(now, faults.readsPerSecond())) {
+            refusedReads++;
+            throw new RefusedException(
+                    429,
+                    "read-budget",
+                    Ran.NOT_RUN,
+                    "the read budget of " + faults.readsPerSecond() + " reads each second is used up");
+        }
+    }
+
+    private boolean applyFaults(PlatformFaults next) {
+        faults = next;
+        answerWatches();
+        if (faults.outage() == PlatformFaults.Outage.RESET) {
+            List<Watch> reset = List.copyOf(watches);
+            watches.clear();
+            reset.forEach(watch -> watch.exchange().reset());
+        }
+        return true;
+    }
+
+    private PlatformStats snapshot() {
+        return new PlatformStats(
+                meter.lastSecond(System.nanoTime()), meter.max(), refusedReads, Map.copyOf(reads), weights.downloads());
+    }
+
+    private record Watch(Exchange exchange, String name, long after) {}
+
+    private record Published(long revision) {}
+
+    private record WeightSize(long bytes) {}
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/ServiceStandin.java
@@ -0,0 +1,114 @@
+package org.ibissaddle.standins;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ibissaddle.standins.internal.Incarnation;
+import org.ibissaddle.standins.internal.Json;
+import org.ibissaddle.standins.internal.http.Exchange;
+import org.ibissaddle.standins.internal.http.Ran;
+import org.ibissaddle.standins.internal.http.RefusedException;
+import org.ibissaddle.standins.internal.http.Reply;
+
+/** A plain service that counts how often each request ran, by its idempotency key. */
+public final class ServiceStandin extends HttpStandin {
+    /** The key under which requests without an {@code Idempotency-Key} header are counted. */
+    public static final String NO_KEY = "none";
+
+    private final Map<String, Integer> arrivals = new TreeMap<>();
+    private ServiceFaults faults = ServiceFaults.none();
+    private long incarnation;
+    private int running;
+
+    /** Prepares a service; {@link #start()} makes it listen. */
+    public ServiceStandin(ServiceOptions options, EventLoopGroup group) {
+        super(options.name(), options.port(), group);
+    }
+
+    @Override
+    public void start() throws StandinStartException {
+        incarnation = Incarnation.next(incarnation);
+        super.start();
+    }
+
+    /** Replaces the faults. */
+    public void setFaults(ServiceFaults next) {
+        onLoop(() -> faults = next);
+    }
+
+    /** The faults still in force. */
+    public ServiceFaults faults() {
+        return onLoop(() -> faults);
+    }
+
+    /** How often requests ran, by idempotency key. */
+    public Map<String, Integer> arrivals() {
+        return onLoop(() -> Map.copyOf(arrivals));
+    }
+
+    @Override
+    protected long idleLimitMs() {
+        return faults.closeIdleAfterMs();
+    }
+
+    @Override
+    protected void handle(Exchange exchange) throws RefusedException {
+        switch (exchange.path()) {
+            case "/_arrivals" -> exchange.reply(Reply.json(200, arrivals));
+            case "/load" -> exchange.reply(Reply.json(200, load()));
+            case "/control" -> control(exchange);
+            default -> call(exchange);
+        }
+    }
+
+    private void control(Exchange exchange) throws RefusedException {
+        faults = Json.merge(faults, exchange.body(), ServiceFaults.class);
+        exchange.reply(Reply.json(200, faults));
+    }
+
+    private Load load() {
+        return new Load(name(), incarnation, System.currentTimeMillis(), running, 0, faults.drain());
+    }
+
+    private void call(Exchange exchange) throws RefusedException {
+        if (faults.drain()) {
+            throw new RefusedException(503, "draining", Ran.NOT_RUN, "server \"" + name() + "\" is draining");
+        }
+        String key = exchange.header("Idempotency-Key").orElse(NO_KEY);
+        int arrival = arrivals.merge(key, 1, Integer::sum);
+        running++;
+        later(faults.delayMs(), () -> answer(exchange, key, arrival));
+    }
+
+    private void answer(Exchange exchange, String key, int arrival) {
+        running--;
+        if (faults.closeBeforeAnswer() > 0) {
+            faults = faults.withCloseBeforeAnswer(faults.closeBeforeAnswer() - 1);
+            exchange.close();
+            return;
+        }
+        exchange.reply(echoId(exchange, outcome(exchange, key, arrival)));
+    }
+
+    private Reply outcome(Exchange exchange, String key, int arrival) {
+        if (faults.retryAfter503() > 0) {
+            faults = faults.withRetryAfter503(faults.retryAfter503() - 1);
+            return Reply.empty(503).withHeader("Retry-After", "0");
+        }
+        if (faults.redirect307() > 0) {
+            faults = faults.withRedirect307(faults.redirect307() - 1);
+            return Reply.empty(307).withHeader("Location", exchange.path());
+        }
+        return Reply.json(200, new Answer(name(), key, arrival, exchange.body().length));
+    }
+
+    private static Reply echoId(Exchange exchange, Reply reply) {
+        return exchange.header("X-Request-Id")
+                .map(id -> reply.withHeader("X-Request-Id", id))
+                .orElse(reply);
+    }
+
+    private record Answer(String service, String key, int arrival, int echoBytes) {}
+
+    private record Load(String server, long incarnation, long atMs, int running, int queued, boolean draining) {}
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/Json.java
@@ -0,0 +1,78 @@
+package org.ibissaddle.standins.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import org.ibissaddle.standins.internal.http.RefusedException;
+
+/** Reads and writes JSON with snake-case field names. */
+public final class Json {
+    private static final ObjectMapper LENIENT = JsonMapper.builder()
+            .addModule(new Jdk8Module())
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .build();
+    private static final ObjectMapper STRICT = LENIENT.copy().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private Json() {}
+
+    /** Serializes a value. */
+    public static byte[] bytes(Object value) {
+        try {
+            return LENIENT.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("value of " + value.getClass() + " has no JSON form", e);
+        }
+    }
+
+    /** Serializes a value to text. */
+    public static String text(Object value) {
+        try {
+            return LENIENT.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("value of " + value.getClass() + " has no JSON form", e);
+        }
+    }
+
+    /** Parses a body as a JSON object. */
+    public static ObjectNode object(byte[] body) throws RefusedException {
+        if (tree(body) instanceof ObjectNode object) {
+            return object;
+        }
+        throw RefusedException.badRequest("the body is not a JSON object");
+    }
+
+    /** Parses a body into a type, ignoring fields that the type does not have. */
+    public static <T> T parse(byte[] body, Class<T> type) throws RefusedException {
+        try {
+            return LENIENT.readValue(body, type);
+        } catch (IOException e) {
+            throw RefusedException.badRequest("the body is not a " + type.getSimpleName() + ": " + e.getMessage());
+        }
+    }
+
+    /** Returns a copy of a record with the fields of a JSON object replaced; unknown fields are refused. */
+    public static <T> T merge(T current, byte[] patch, Class<T> type) throws RefusedException {
+        ObjectNode merged = LENIENT.valueToTree(current);
+        merged.setAll(object(patch));
+        try {
+            return STRICT.treeToValue(merged, type);
+        } catch (JsonProcessingException e) {
+            throw RefusedException.badRequest("the body does not fit " + type.getSimpleName() + ": " + e.getMessage());
+        }
+    }
+
+    private static JsonNode tree(byte[] body) throws RefusedException {
+        try {
+            return LENIENT.readTree(body);
+        } catch (IOException e) {
+            throw RefusedException.badRequest("the body is not JSON: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/EngineCore.java
@@ -0,0 +1,253 @@
+package org.ibissaddle.standins.internal.engine;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.standins.EngineFaults;
+import org.ibissaddle.standins.EngineOptions;
+import org.ibissaddle.standins.PromptBlocks;
+import org.ibissaddle.standins.internal.Lagging;
+import org.ibissaddle.standins.internal.http.Ran;
+import org.ibissaddle.standins.internal.http.RefusedException;
+
+/** The state of an engine from one start to its end: queue, batch, cache, streams and resident models. */
+public final class EngineCore {
+    private static final int STOP = -1;
+
+    private final EngineOptions options;
+    private final EventLoop loop;
+    private final EngineCounters counters;
+    private final Runnable crash;
+    private final long incarnation;
+    private final Batcher batcher;
+    private final PrefixCache cache;
+    private final CacheEventLog cacheEvents;
+    private final Residency residency;
+    private final Lagging<LoadReport> loads;
+    private final Map<String, Generation> generations = new HashMap<>();
+    private EngineFaults faults = EngineFaults.none();
+    private long arrivals;
+
+    /**
+     * Starts an incarnation with an empty cache.
+     *
+     * @param crash ends the incarnation at once
+     */
+    public EngineCore(
+            EngineOptions options, EventLoop loop, EngineCounters counters, long incarnation, Runnable crash) {
+        this.options = options;
+        this.loop = loop;
+        this.counters = counters;
+        this.incarnation = incarnation;
+        this.crash = crash;
+        this.batcher = new Batcher(options, loop, new Progress());
+        this.cacheEvents = new CacheEventLog(options.cacheEventDelayMs(), options.cacheEventGapEvery());
+        this.cache = new PrefixCache(
+                options.cacheBlocks(), (kind, block) -> cacheEvents.add(System.currentTimeMillis(), kind, block));
+        this.residency = new Residency(options.models(), options.role(), options.checkOrderTokens());
+        this.loads = new Lagging<>(options.loadLagMs());
+        recordLoad();
+    }
+
+    /** The faults in force. */
+    public EngineFaults faults() {
+        return faults;
+    }
+
+    /** Replaces the faults; a stall starts now. */
+    public void setFaults(EngineFaults next) {
+        faults = next;
+        if (next.stallMs() > 0) {
+            batcher.stall(next.stallMs());
+            faults = next.withStallMs(0);
+        }
+        recordLoad();
+    }
+
+    /** Takes the faults of the next answer, and uses up those that strike once. */
+    public StreamFaults takeStreamFaults() {
+        StreamFaults taken = new StreamFaults(
+                System.currentTimeMillis() + faults.lateMs(),
+                faults.crossNext() > 0 ? Optional.of(crossedRequest()) : Optional.empty(),
+                faults.duplicateEvery(),
+                faults.gapEvery(),
+                faults.cutAfterEvents());
+        faults = faults.withCrossNext(Math.max(0, faults.crossNext() - 1)).withCutAfterEvents(0);
+        return taken;
+    }
+
+    /** The models, adapters and role. */
+    public Residency residency() {
+        return residency;
+    }
+
+    /** The prefix cache. */
+    public PrefixCache cache() {
+        return cache;
+    }
+
+    /** The published cache events behind a number. */
+    public CacheEventLog.Page cacheEvents(long after) {
+        return cacheEvents.after(System.currentTimeMillis(), after);
+    }
+
+    /** The load as it was some time ago. */
+    public LoadReport load() {
+        long at = System.currentTimeMillis() - options.loadLagMs();
+        return loads.at(at).orElseGet(this::currentLoad).at(at);
+    }
+
+    /** Notes that the load has changed. */
+    public void recordLoad() {
+        loads.record(System.currentTimeMillis(), currentLoad());
+    }
+
+    /** Refuses a request that this engine cannot take. */
+    public void checkAdmission(CompletionRequest request) throws RefusedException {
+        if (faults.drain()) {
+            throw refusal(503, "draining", "server \"" + options.name() + "\" is draining");
+        }
+        if (!residency.has(request.model())) {
+            String message = "model \"" + request.model() + "\" is not resident on server \"" + options.name() + "\"";
+            throw refusal(404, "model-not-resident", message);
+        }
+        if (batcher.queuedCount() >= options.maxQueued()) {
+            throw refusal(503, "engine-full", "the queue of server \"" + options.name() + "\" is full");
+        }
+    }
+
+    /** Queues a request. */
+    public Generation submit(CompletionRequest request) throws RefusedException {
+        Generation generation = new Generation(request, arrivals++);
+        counters.accepted(request.id());
+        generations.put(request.id(), generation);
+        batcher.submit(generation);
+        recordLoad();
+        return generation;
+    }
+
+    /** Finds the latest generation of a request id. */
+    public Optional<Generation> find(String requestId) {
+        return Optional.ofNullable(generations.get(requestId));
+    }
+
+    /** Cancels a generation that has not ended. */
+    public void cancel(Generation generation) {
+        if (generation.ended()) {
+            return;
+        }
+        generation.cancel();
+        batcher.remove(generation);
+        counters.cancelled();
+        generation.notifyWriters();
+        forgetLater(generation);
+        recordLoad();
+    }
+
+    /** Detaches a lost connection; the generation is cancelled unless another one attaches in time. */
+    public void connectionLost(Generation generation, AnswerWriter writer) {
+        generation.detach(writer);
+        runIn(options.lostConnectionGraceMs(), () -> {
+            if (generation.isUnattended()) {
+                cancel(generation);
+            }
+        });
+    }
+
+    /** Stops all work. */
+    public void stop() {
+        batcher.stop();
+    }
+
+    private CompletionRequest crossedRequest() {
+        String model = options.models().isEmpty() ? "none" : options.models().getFirst();
+        return new CompletionRequest(
+                "crossed-" + arrivals, 0, 0, true, model, "crossed prompt " + arrivals, "", 0, true);
+    }
+
+    private LoadReport currentLoad() {
+        int queuedTokens = 0;
+        for (Generation waiting : batcher.queued()) {
+            queuedTokens += PromptBlocks.tokens(waiting.cachedText());
+        }
+        int decodeTokens = 0;
+        for (Generation running : batcher.running()) {
+            queuedTokens += running.prefillLeft();
+            decodeTokens += running.decodeLeft();
+        }
+        return new LoadReport(
+                options.name(),
+                incarnation,
+                System.currentTimeMillis(),
+                batcher.running().size(),
+                batcher.queuedCount(),
+                queuedTokens,
+                decodeTokens,
+                batcher.capacityTokensPerSecond(),
+                cache.tokens(),
+                counters.hitRate(),
+                residency.models(),
+                residency.adapters(),
+                residency.role(),
+                faults.drain(),
+                residency.token());
+    }
+
+    private void forgetLater(Generation generation) {
+        runIn(
+                options.keepFinishedMs(),
+                () -> generations.remove(generation.request().id(), generation));
+    }
+
+    private void runIn(long delayMs, Runnable action) {
+        var unused = loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private static RefusedException refusal(int status, String type, String message) {
+        return new RefusedException(status, type, Ran.NOT_RUN, message);
+    }
+
+    private final class Progress implements Batcher.Listener {
+        @Override
+        public int admitting(Generation generation) {
+            String prompt = generation.request().prompt();
+            if (faults.crashOn().filter(prompt::contains).isPresent()) {
+                crash.run();
+                return STOP;
+            }
+            int cached = cache.match(blocks(generation)) * PromptBlocks.BLOCK_TOKENS;
+            counters.hit(cached);
+            return PromptBlocks.tokens(generation.cachedText()) - cached;
+        }
+
+        @Override
+        public void prefilled(Generation generation, int tokens) {
+            counters.prefilled(tokens);
+            if (generation.prefillLeft() == 0) {
+                cache.store(blocks(generation));
+            }
+        }
+
+        @Override
+        public void decoded(Generation generation) {
+            counters.decoded();
+            if (generation.ended()) {
+                counters.finished();
+                forgetLater(generation);
+            }
+            generation.notifyWriters();
+        }
+
+        @Override
+        public void stepped() {
+            recordLoad();
+        }
+
+        private List<String> blocks(Generation generation) {
+            return PromptBlocks.of(generation.request().model(), generation.cachedText());
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/EventStream.java
@@ -0,0 +1,98 @@
+package org.ibissaddle.standins.internal.engine;
+
+import java.util.Optional;
+import org.ibissaddle.standins.AnswerText;
+import org.ibissaddle.standins.internal.http.Exchange;
+
+/** Streams an answer as server-sent events, as far as the connection takes them. */
+public final class EventStream implements AnswerWriter {
+    private static final int CROSSED_EVENTS = 3;
+
+    private final Generation generation;
+    private final Exchange exchange;
+    private final StreamFaults faults;
+    private int offset;
+    private int events;
+    private boolean started;
+    private boolean ended;
+
+    private EventStream(Generation generation, Exchange exchange, StreamFaults faults, int offset) {
+        this.generation = generation;
+        this.exchange = exchange;
+        this.faults = faults;
+        this.offset = offset;
+    }
+
+    /** Starts a stream at an offset of the answer. */
+    public static EventStream open(
+            Generation generation, Exchange exchange, StreamFaults faults, int offset, Timer timer) {
+        EventStream stream = new EventStream(generation, exchange, faults, offset);
+        exchange.onWritable(stream::advance);
+        timer.runAt(faults.notBeforeMs(), stream::start);
+        return stream;
+    }
+
+    @Override
+    public void advance() {
+        while (started && !ended && exchange.isWritable() && offset < generation.produced()) {
+            int end = generation.pieceEnd(offset);
+            send(generation.answer().substring(offset, end));
+            offset = end;
+        }
+        if (started && !ended && generation.ended() && offset == generation.produced()) {
+            end();
+        }
+    }
+
+    private void start() {
+        if (!exchange.isOpen()) {
+            return;
+        }
+        started = true;
+        exchange.startStream("text/event-stream", Chunks.headers(generation.request()));
+        faults.crossed().ifPresent(this::sendCrossed);
+        advance();
+    }
+
+    private void send(String text) {
+        events++;
+        byte[] event = Chunks.event(generation.request(), offset, text, Optional.empty());
+        if (!faults.omits(events)) {
+            exchange.write(event);
+        }
+        if (faults.duplicates(events)) {
+            exchange.write(event);
+        }
+        if (faults.cutsAfter(events)) {
+            cut();
+        }
+    }
+
+    private void sendCrossed(CompletionRequest other) {
+        String text = AnswerText.answerFor(other.model(), other.prompt(), other.maxTokens());
+        int start = 0;
+        for (int i = 0; i < CROSSED_EVENTS && start < text.length(); i++) {
+            int space = text.indexOf(' ', start + 1);
+            int end = space < 0 ? text.length() : space;
+            exchange.write(Chunks.event(other, start, text.substring(start, end), Optional.empty()));
+            start = end;
+        }
+    }
+
+    private void end() {
+        ended = true;
+        generation.detach(this);
+        if (generation.state() == Generation.State.CANCELLED) {
+            exchange.close();
+            return;
+        }
+        exchange.write(Chunks.event(generation.request(), offset, "", Optional.of(generation.finishReason())));
+        exchange.write(Chunks.done());
+        exchange.endStream();
+    }
+
+    private void cut() {
+        ended = true;
+        exchange.close();
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/Residency.java
@@ -0,0 +1,100 @@
+package org.ibissaddle.standins.internal.engine;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.ibissaddle.standins.EngineOrder;
+import org.ibissaddle.standins.internal.http.Ran;
+import org.ibissaddle.standins.internal.http.RefusedException;
+
+/** The models and adapters that an engine holds, its role, and the orders that changed them. */
+public final class Residency {
+    private final TreeSet<String> models;
+    private final TreeSet<String> adapters = new TreeSet<>();
+    private final boolean checksTokens;
+    private String role;
+    private long token;
+
+    /**
+     * Creates the residency of an engine that starts.
+     *
+     * @param models the models, each as {@code model@version}
+     * @param checksTokens whether orders with an old fencing token are refused
+     */
+    public Residency(List<String> models, String role, boolean checksTokens) {
+        this.models = new TreeSet<>(models);
+        this.role = role;
+        this.checksTokens = checksTokens;
+    }
+
+    /** The resident models, each as {@code model@version}. */
+    public List<String> models() {
+        return List.copyOf(models);
+    }
+
+    /** The resident adapters. */
+    public List<String> adapters() {
+        return List.copyOf(adapters);
+    }
+
+    /** The role. */
+    public String role() {
+        return role;
+    }
+
+    /** The highest fencing token of an accepted order. */
+    public long token() {
+        return token;
+    }
+
+    /** Whether a model is resident, with its version or in any version. */
+    public boolean has(String model) {
+        return models.contains(model)
+                || adapters.contains(model)
+                || models.stream().anyMatch(resident -> resident.startsWith(model + "@"));
+    }
+
+    /** Refuses an order with an old fencing token where tokens are checked, and keeps the token. */
+    public void accept(EngineOrder order) throws RefusedException {
+        if (checksTokens && order.token() < token) {
+            throw new RefusedException(
+                    409, "stale-token", Ran.NOT_RUN, "order token " + order.token() + " is older than token " + token);
+        }
+        token = Math.max(token, order.token());
+    }
+
+    /** Applies an order. */
+    public void apply(EngineOrder order) throws RefusedException {
+        switch (order.kind()) {
+            case "load" -> load(order);
+            case "unload" -> unload(order);
+            case "role" -> role = required(order, "role", order.role());
+            default -> throw RefusedException.badRequest("order kind \"" + order.kind() + "\" is unknown");
+        }
+    }
+
+    private void load(EngineOrder order) throws RefusedException {
+        if (order.adapter().isPresent()) {
+            adapters.add(order.adapter().get());
+            return;
+        }
+        models.add(modelKey(order));
+    }
+
+    private void unload(EngineOrder order) throws RefusedException {
+        if (order.adapter().isPresent()) {
+            adapters.remove(order.adapter().get());
+            return;
+        }
+        models.remove(modelKey(order));
+    }
+
+    private static String modelKey(EngineOrder order) throws RefusedException {
+        return required(order, "model", order.model()) + "@" + required(order, "version", order.version());
+    }
+
+    private static String required(EngineOrder order, String field, Optional<String> value) throws RefusedException {
+        return value.orElseThrow(() ->
+                RefusedException.badRequest("order of kind \"" + order.kind() + "\" has no field \"" + field + "\""));
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/http/Exchange.java
@@ -0,0 +1,199 @@
+package org.ibissaddle.standins.internal.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One request on a connection and the way to answer it. Used on the stand-in's event loop only. */
+@SuppressWarnings("FutureReturnValueIgnored") // a failed write closes the channel, which onClose reports
+public final class Exchange {
+    private final Channel channel;
+    private final String method;
+    private final HttpHeaders headers;
+    private final QueryStringDecoder uri;
+    private final byte[] body;
+    private final boolean keepAlive;
+    private final Runnable onFinished;
+    private Runnable closeAction = () -> {};
+    private Runnable writableAction = () -> {};
+    private boolean started;
+    private boolean finished;
+
+    Exchange(Channel channel, FullHttpRequest request, Runnable onFinished) {
+        this.channel = channel;
+        this.method = request.method().name();
+        this.headers = request.headers().copy();
+        this.uri = new QueryStringDecoder(request.uri());
+        this.body = ByteBufUtil.getBytes(request.content());
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.onFinished = onFinished;
+    }
+
+    /** The request method. */
+    public String method() {
+        return method;
+    }
+
+    /** The decoded path. */
+    public String path() {
+        return uri.path();
+    }
+
+    /** The segments of the path, without the leading slash. */
+    public List<String> segments() {
+        return List.of(path().substring(1).split("/", -1));
+    }
+
+    /** The first value of a query parameter. */
+    public Optional<String> query(String name) {
+        return Optional.ofNullable(uri.parameters().get(name)).map(List::getFirst);
+    }
+
+    /** A query parameter that is a whole number. */
+    public Optional<Long> queryNumber(String name) throws RefusedException {
+        Optional<String> value = query(name);
+        return value.isEmpty() ? Optional.empty() : Optional.of(number(name, value.get()));
+    }
+
+    /** The first value of a request header. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name));
+    }
+
+    /** A request header that is a whole number, or a default where it is absent. */
+    public long headerNumber(String name, long absent) throws RefusedException {
+        Optional<String> value = header(name);
+        return value.isEmpty() ? absent : number(name, value.get());
+    }
+
+    /** The request body. */
+    public byte[] body() {
+        return body;
+    }
+
+    /** Sends a complete reply. */
+    public void reply(Reply reply) {
+        if (started) {
+            return;
+        }
+        started = true;
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), Unpooled.wrappedBuffer(reply.body()));
+        prepare(response, reply.contentType(), reply.headers());
+        HttpUtil.setContentLength(response, reply.body().length);
+        finish(response);
+    }
+
+    /** Starts a reply whose body is written piece by piece. */
+    public void startStream(String contentType, Map<String, String> more) {
+        started = true;
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        prepare(response, contentType, more);
+        HttpUtil.setTransferEncodingChunked(response, true);
+        channel.writeAndFlush(response);
+    }
+
+    /** Writes a piece of a streamed body. */
+    public void write(byte[] piece) {
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+    }
+
+    /** Ends a streamed body. */
+    public void endStream() {
+        finish(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    /** Whether the connection takes more bytes without buffering them beyond its limit. */
+    public boolean isWritable() {
+        return channel.isWritable();
+    }
+
+    /** Whether the connection is open and the reply not yet complete. */
+    public boolean isOpen() {
+        return channel.isActive() && !finished;
+    }
+
+    /** Closes the connection in the ordinary way after what was written. */
+    public void close() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Closes the connection with a reset. */
+    public void reset() {
+        resetChannel(channel);
+    }
+
+    /** Sets what to do when the connection closes before the reply is complete. */
+    public void onClose(Runnable action) {
+        closeAction = action;
+    }
+
+    /** Sets what to do when the connection takes bytes again. */
+    public void onWritable(Runnable action) {
+        writableAction = action;
+    }
+
+    /** Closes a channel with a reset in place of the ordinary shutdown. */
+    public static void resetChannel(Channel channel) {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        channel.close();
+    }
+
+    void closed() {
+        if (!finished) {
+            closeAction.run();
+        }
+    }
+
+    void writable() {
+        if (!finished) {
+            writableAction.run();
+        }
+    }
+
+    private void prepare(HttpResponse response, String contentType, Map<String, String> more) {
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        more.forEach((name, value) -> response.headers().set(name, value));
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void finish(Object last) {
+        finished = true;
+        channel.writeAndFlush(last).addListener(written -> {
+            if (!keepAlive) {
+                channel.close();
+            }
+        });
+        onFinished.run();
+    }
+
+    private static long number(String name, String value) throws RefusedException {
+        try {
+            return Long.parseLong(value.strip());
+        } catch (NumberFormatException e) {
+            throw RefusedException.badRequest("\"" + name + "\" is not a whole number: \"" + value + "\"");
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/http/Reply.java
@@ -0,0 +1,39 @@
+package org.ibissaddle.standins.internal.http;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.ibissaddle.standins.internal.Json;
+
+/**
+ * A complete HTTP reply.
+ *
+ * @param status the status code
+ * @param contentType the media type of the body
+ * @param body the body bytes
+ * @param headers further headers
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record Reply(int status, String contentType, byte[] body, Map<String, String> headers) {
+
+    /** Creates a JSON reply. */
+    public static Reply json(int status, Object value) {
+        return new Reply(status, "application/json", Json.bytes(value), Map.of());
+    }
+
+    /** Creates a reply of raw bytes. */
+    public static Reply bytes(int status, byte[] body) {
+        return new Reply(status, "application/octet-stream", body, Map.of());
+    }
+
+    /** Creates a reply without a body. */
+    public static Reply empty(int status) {
+        return bytes(status, new byte[0]);
+    }
+
+    /** Returns this reply with one more header. */
+    public Reply withHeader(String name, String value) {
+        Map<String, String> more = new LinkedHashMap<>(headers);
+        more.put(name, value);
+        return new Reply(status, contentType, body, more);
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts shared by several stand-ins. */
+package org.ibissaddle.standins.internal;
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/platform/ReadBudget.java
@@ -0,0 +1,29 @@
+package org.ibissaddle.standins.internal.platform;
+
+/** Token bucket that limits reads; it holds at most one second's worth. */
+public final class ReadBudget {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private double tokens = -1;
+    private long filledAt;
+
+    /**
+     * Takes one read from the budget.
+     *
+     * @return whether there was one left
+     */
+    public boolean take(long nowNanos, int perSecond) {
+        refill(nowNanos, perSecond);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+
+    private void refill(long nowNanos, int perSecond) {
+        double added = tokens < 0 ? perSecond : (nowNanos - filledAt) / NANOS_PER_SECOND * perSecond;
+        tokens = Math.min(perSecond, Math.max(0, tokens) + added);
+        filledAt = nowNanos;
+    }
+}
--- /dev/null
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the fault-injecting proxy. */
+package org.ibissaddle.standins.internal.proxy;
--- /dev/null
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
@@ -0,0 +1,320 @@
+package org.ibissaddle.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.ibissaddle.standins.HttpCalls.events;
+import static org.ibissaddle.standins.HttpCalls.joined;
+import static org.ibissaddle.standins.HttpCalls.tree;
+import static org.ibissaddle.standins.HttpCalls.waitUntil;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import org.ibissaddle.standins.HttpCalls.Event;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EngineStandinTest {
+    private static final String MODEL = "inspect@1";
+    private static final String PROMPT = "sleepers of oak, grade two, ".repeat(16);
+    private static final String ANSWER = AnswerText.answerFor(MODEL, PROMPT, 0);
+
+    private EventLoopGroup loops;
+    private EngineStandin engine;
+    private HttpCalls calls;
+
+    @BeforeEach
+    void startEngine() throws IOException {
+        loops = HttpStandin.newEventLoops(1);
+        start(fast("eng-1"));
+    }
+
+    @AfterEach
+    void closeEngine() {
+        engine.close();
+        loops.close();
+    }
+
+    private static EngineOptions.Builder fast(String name) {
+        return EngineOptions.named(name).models(MODEL).stepMicros(200, 10).prefillTokensPerSecond(1e6);
+    }
+
+    private void start(EngineOptions.Builder options) throws IOException {
+        if (engine != null) {
+            engine.close();
+        }
+        engine = new EngineStandin(options.build(), loops);
+        engine.start();
+        calls = new HttpCalls(engine.address());
+    }
+
+    private static String body(String prompt, boolean stream, String extra) {
+        return "{\"model\":\"%s\",\"prompt\":\"%s\",\"stream\":%s%s}".formatted(MODEL, prompt, stream, extra);
+    }
+
+    private HttpResponse<String> complete(String id, String body) throws Exception {
+        return calls.send("POST", "/v1/completions", body, "X-Request-Id", id, "X-Attempt", "2");
+    }
+
+    @Nested
+    class Answering {
+        @Test
+        void shouldStreamWholeAnswerWithIds() throws Exception {
+            String stream = complete("r1", body(PROMPT, true, "")).body();
+            List<Event> events = events(stream);
+
+            assertThat(joined(events)).isEqualTo(ANSWER);
+            assertThat(events).allMatch(event -> event.requestId().equals("r1") && event.attempt() == 2);
+            assertThat(events).allMatch(event -> ANSWER.startsWith(event.text(), event.offset()));
+            assertThat(events.getLast().last()).isTrue();
+            assertThat(events.getLast().offset()).isEqualTo(ANSWER.length());
+            assertThat(stream).endsWith("data: [DONE]\n\n");
+        }
+
+        @Test
+        void shouldAnswerChatInJson() throws Exception {
+            String body =
+                    "{\"model\":\"%s\",\"messages\":[{\"content\":\"one \"},{\"content\":\"two\"}],\"max_tokens\":9}"
+                            .formatted(MODEL);
+            HttpResponse<String> reply = calls.send("POST", "/v1/chat/completions", body, "X-Request-Id", "r1");
+
+            assertThat(tree(reply.body()).at("/choices/0/message/content").asText())
+                    .isEqualTo(AnswerText.answerFor(MODEL, "one two", 9));
+            assertThat(reply.headers().firstValue("X-Request-Id")).contains("r1");
+            assertThat(reply.headers().firstValue("X-Attempt")).contains("0");
+        }
+
+        @Test
+        void shouldContinueBehindGivenText() throws Exception {
+            String have = ANSWER.substring(0, ANSWER.indexOf(' ') + 1);
+            String extra = ",\"continue_text\":\"" + have + "\"";
+            List<Event> events =
+                    events(complete("r1", body(PROMPT, true, extra)).body());
+
+            assertThat(events.getFirst().offset()).isEqualTo(have.length());
+            assertThat(have + joined(events)).isEqualTo(ANSWER);
+        }
+
+        @Test
+        void shouldRefuseContinuationOfAnotherAnswer() throws Exception {
+            HttpResponse<String> reply = complete("r1", body(PROMPT, true, ",\"continue_text\":\"no such answer\""));
+
+            assertThat(reply.statusCode()).isEqualTo(400);
+            assertThat(reply.body()).contains("continue-text-mismatch");
+        }
+
+        @Test
+        void shouldRefuseUnknownModelAsNotRun() throws Exception {
+            HttpResponse<String> reply = complete("r1", body(PROMPT, false, "").replace(MODEL, "poems"));
+
+            assertThat(reply.statusCode()).isEqualTo(404);
+            assertThat(reply.headers().firstValue("X-Ran")).contains("not-run");
+            assertThat(reply.body()).contains("model \\\"poems\\\" is not resident on server \\\"eng-1\\\"");
+            assertThat(engine.stats().requests()).isZero();
+        }
+
+        @Test
+        void shouldRefuseWhileDraining() throws Exception {
+            calls.send("POST", "/control", "{\"drain\":true}");
+            HttpResponse<String> reply = complete("r1", body(PROMPT, false, ""));
+
+            assertThat(reply.statusCode()).isEqualTo(503);
+            assertThat(reply.headers().firstValue("X-Ran")).contains("not-run");
+            assertThat(calls.json("/load").path("draining").asBoolean()).isTrue();
+        }
+    }
+
+    @Nested
+    class Scheduling {
+        @Test
+        void shouldRunHigherPriorityFirst() throws Exception {
+            start(fast("eng-1").maxBatch(1));
+            engine.setFaults(EngineFaults.none().withStallMs(100));
+            var first = calls.sendAsync("POST", "/v1/completions", body("a", false, ""));
+            waitUntil(() -> calls.json("/load").path("running").asInt() == 1);
+            var low = calls.sendAsync("POST", "/v1/completions", body("b", false, ""), "X-Priority", "1");
+            waitUntil(() -> calls.json("/load").path("queued").asInt() == 1);
+            var high = calls.sendAsync("POST", "/v1/completions", body("c", false, ""), "X-Priority", "7");
+            high.thenRun(() -> assertThat(low).isNotDone()).join();
+
+            assertThat(first).isDone();
+            assertThat(low.join().statusCode()).isEqualTo(200);
+        }
+
+        @Test
+        void shouldRefuseWhenQueueIsFull() throws Exception {
+            start(fast("eng-1").maxBatch(1).maxQueued(0));
+
+            HttpResponse<String> reply = complete("r1", body(PROMPT, false, ""));
+
+            assertThat(reply.statusCode()).isEqualTo(503);
+            assertThat(reply.body()).contains("engine-full");
+        }
+
+        @Test
+        void shouldReportLoadWithLag() throws Exception {
+            start(fast("eng-1").loadLagMs(60_000));
+            complete("r1", body(PROMPT, false, ""));
+
+            assertThat(engine.stats().hitTokens() + engine.stats().prefilledTokens())
+                    .isPositive();
+            assertThat(calls.json("/load").path("cached_tokens").asInt()).isZero();
+        }
+    }
+
+    @Nested
+    class Caching {
+        @Test
+        void shouldSkipPrefillOfCachedPrefix() throws Exception {
+            complete("r1", body(PROMPT, false, ""));
+            long prefilled = engine.stats().prefilledTokens();
+            complete("r2", body(PROMPT + "more", false, ""));
+
+            assertThat(engine.stats().prefilledTokens() - prefilled).isEqualTo(1);
+            assertThat(engine.stats().hitTokens()).isEqualTo(PromptBlocks.tokens(PROMPT));
+        }
+
+        @Test
+        void shouldEvictAndPublishEventsWithGaps() throws Exception {
+            start(fast("eng-1").cacheBlocks(3).cacheEvents(0, 4));
+            complete("r1", body(PROMPT, false, ""));
+            var page = calls.json("/cache-events?after=0");
+
+            assertThat(page.path("next").asInt()).isEqualTo(11);
+            assertThat(page.path("events")).hasSize(9);
+            assertThat(page.path("events").findValuesAsText("seq")).doesNotContain("4", "8");
+            assertThat(calls.json("/load").path("cached_tokens").asInt()).isEqualTo(3 * PromptBlocks.BLOCK_TOKENS);
+        }
+
+        @Test
+        void shouldMoveKeyValuesToAnotherEngine() throws Exception {
+            complete("r1", body(PROMPT, false, ""));
+            String last = PromptBlocks.of(MODEL, PROMPT).getLast();
+            byte[] exported = calls.bytes("GET", "/kv/" + last, new byte[0]).body();
+            start(fast("eng-2"));
+
+            assertThat(calls.get("/kv/" + last).statusCode()).isEqualTo(404);
+            assertThat(calls.bytes("PUT", "/kv/" + last, exported).statusCode()).isEqualTo(204);
+            complete("r2", body(PROMPT, false, ""));
+            assertThat(engine.stats().prefilledTokens()).isZero();
+        }
+    }
+
+    @Nested
+    class Orders {
+        @Test
+        void shouldRefuseOldTokenWhereChecked() throws Exception {
+            String load = "{\"token\":%d,\"kind\":\"load\",\"model\":\"notes\",\"version\":\"2\"}";
+            assertThat(calls.send("POST", "/orders", load.formatted(7)).body()).isEqualTo("{\"applied\":true}");
+            HttpResponse<String> stale = calls.send("POST", "/orders", load.formatted(6));
+
+            assertThat(stale.statusCode()).isEqualTo(409);
+            assertThat(stale.body()).contains("stale-token");
+            assertThat(calls.get("/v1/models").body()).contains("notes@2");
+            assertThat(engine.stats().orders()).hasSize(1);
+        }
+
+        @Test
+        void shouldApplyOldTokenWhereNotChecked() throws Exception {
+            start(fast("eng-1").orders(false, 1));
+            String role = "{\"token\":%d,\"kind\":\"role\",\"role\":\"%s\"}";
+            calls.send("POST", "/orders", role.formatted(7, "decode"));
+            calls.send("POST", "/orders", role.formatted(6, "prefill"));
+
+            assertThat(calls.json("/load").path("role").asText()).isEqualTo("prefill");
+        }
+    }
+
+    @Nested
+    class Streams {
+        @Test
+        void shouldResumeCutStream() throws Exception {
+            engine.setFaults(EngineFaults.none().withCutAfterEvents(3));
+            assertThatThrownBy(() -> complete("r1", body(PROMPT, true, ""))).isInstanceOf(IOException.class);
+            int offset = ANSWER.indexOf(' ') + 1;
+            List<Event> rest =
+                    events(calls.get("/v1/streams/r1?offset=" + offset).body());
+
+            assertThat(rest.getFirst().offset()).isEqualTo(offset);
+            assertThat(joined(rest)).isEqualTo(ANSWER.substring(offset));
+            assertThat(engine.stats().requests()).isEqualTo(1);
+        }
+
+        @Test
+        void shouldCancelAfterConnectionIsLost() throws Exception {
+            start(fast("eng-1").lostConnectionGraceMs(1));
+            engine.setFaults(EngineFaults.none().withCutAfterEvents(1));
+            String endless = body(PROMPT, true, ",\"max_tokens\":100000");
+            assertThatThrownBy(() -> complete("r1", endless)).isInstanceOf(IOException.class);
+
+            waitUntil(() -> engine.stats().cancels() == 1);
+            assertThat(calls.json("/load").path("running").asInt()).isZero();
+        }
+
+        @Test
+        void shouldCancelOnDelete() throws Exception {
+            var running = calls.sendAsync(
+                    "POST", "/v1/completions", body(PROMPT, true, ",\"max_tokens\":100000"), "X-Request-Id", "r1");
+            waitUntil(() -> calls.send("DELETE", "/v1/streams/r1", "").statusCode() == 204);
+
+            assertThatThrownBy(running::join).hasCauseInstanceOf(IOException.class);
+            assertThat(engine.stats().cancels()).isEqualTo(1);
+        }
+
+        @Test
+        void shouldNotKnowOtherStreams() throws Exception {
+            assertThat(calls.get("/v1/streams/r9?offset=0").statusCode()).isEqualTo(404);
+        }
+    }
+
+    @Nested
+    class Faults {
+        @Test
+        void shouldCrashOnTextAndRestartEmpty() throws Exception {
+            complete("r1", body(PROMPT, false, ""));
+            long incarnation = calls.json("/load").path("incarnation").asLong();
+            engine.setFaults(EngineFaults.none().withCrashOn("poison"));
+            assertThatThrownBy(() -> complete("r2", body("some poison here", false, "")))
+                    .isInstanceOf(IOException.class);
+            assertThat(engine.crashed()).isTrue();
+            assertThatThrownBy(() -> calls.get("/load")).isInstanceOf(IOException.class);
+
+            engine.restart();
+
+            assertThat(calls.json("/load").path("incarnation").asLong()).isGreaterThan(incarnation);
+            assertThat(calls.json("/load").path("cached_tokens").asInt()).isZero();
+        }
+
+        @Test
+        void shouldSendDuplicateMissingAndCrossedEvents() throws Exception {
+            calls.send("POST", "/control", "{\"cross_next\":1,\"duplicate_every\":5,\"gap_every\":7}");
+            List<Event> events = events(complete("r1", body(PROMPT, true, "")).body());
+
+            assertThat(events).anyMatch(event -> !event.requestId().equals("r1"));
+            List<Event> own = events.stream()
+                    .filter(event -> event.requestId().equals("r1"))
+                    .toList();
+            int words = AnswerText.DEFAULT_WORDS;
+            assertThat(own).hasSize(words + words / 5 - words / 7 + 1);
+            assertThat(engine.faults().crossNext()).isZero();
+        }
+
+        @Test
+        void shouldAnswerLate() throws Exception {
+            engine.setFaults(EngineFaults.none().withLateMs(150));
+            long start = System.nanoTime();
+            complete("r1", body(PROMPT, true, ""));
+
+            assertThat(System.nanoTime() - start).isGreaterThanOrEqualTo(140_000_000L);
+        }
+
+        @Test
+        void shouldRefuseUnknownFault() throws Exception {
+            assertThat(calls.send("POST", "/control", "{\"drian\":true}").statusCode())
+                    .isEqualTo(400);
+        }
+    }
+}
