--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -7,6 +7,6 @@
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(new ServeCommand(), new ConfigCheckCommand(), new NoteCheckCommand());
+        return List.of(new ServeCommand(), new ConfigCheckCommand(), new NoteCheckCommand(), new DemoCommand());
     }
 }
