--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
@@ -29,6 +29,7 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final int MAX_LINE_BYTES = 64 * 1024;
+    private static final long SHUTDOWN_LIMIT_MS = 2_000;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
     private final String name;
@@ -56,6 +57,11 @@
         return new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
     }
 
+    /** Shuts event loops down at once and waits until they have ended. */
+    public static void closeEventLoops(EventLoopGroup group) {
+        group.shutdownGracefully(0, SHUTDOWN_LIMIT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+
     /** Starts listening; after a {@link #close()} the same port is taken again. */
     public void start() throws StandinStartException {
         ChannelFuture bound = new ServerBootstrap()
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
@@ -35,7 +35,7 @@
     @AfterEach
     void closeEngine() {
         engine.close();
-        loops.close();
+        HttpStandin.closeEventLoops(loops);
     }
 
     private static EngineOptions.Builder fast(String name) {
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/PlatformStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/PlatformStandinTest.java
@@ -28,7 +28,7 @@
     @AfterEach
     void closePlatform() {
         platform.close();
-        loops.close();
+        HttpStandin.closeEventLoops(loops);
     }
 
     private void start(PlatformOptions options) throws IOException {
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/ServiceStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/ServiceStandinTest.java
@@ -32,7 +32,7 @@
     @AfterEach
     void closeService() {
         service.close();
-        loops.close();
+        HttpStandin.closeEventLoops(loops);
     }
 
     private HttpResponse<String> buy(String key) throws Exception {
