--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/EngineStandin.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/EngineStandin.java
@@ -133,7 +133,7 @@
                     openStream(generation, exchange, request.continueText().length()));
             return;
         }
-        attach(generation, exchange, new JsonAnswer(generation, exchange, core.takeStreamFaults(), timer));
+        attach(generation, exchange, new JsonAnswer(generation, exchange, core.takeStreamFaults(generation), timer));
     }
 
     private void stream(Exchange exchange) throws RefusedException {
@@ -163,7 +163,7 @@
     }
 
     private EventStream openStream(Generation generation, Exchange exchange, int offset) {
-        return EventStream.open(generation, exchange, core.takeStreamFaults(), offset, timer);
+        return EventStream.open(generation, exchange, core.takeStreamFaults(generation), offset, timer);
     }
 
     private void attach(Generation generation, Exchange exchange, AnswerWriter writer) {
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/EngineCore.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/EngineCore.java
@@ -68,10 +68,10 @@
     }
 
     /** Takes the faults of the next answer, and uses up those that strike once. */
-    public StreamFaults takeStreamFaults() {
+    public StreamFaults takeStreamFaults(Generation generation) {
         StreamFaults taken = new StreamFaults(
                 System.currentTimeMillis() + faults.lateMs(),
-                faults.crossNext() > 0 ? Optional.of(crossedRequest()) : Optional.empty(),
+                faults.crossNext() > 0 ? Optional.of(crossedRequest(generation)) : Optional.empty(),
                 faults.duplicateEvery(),
                 faults.gapEvery(),
                 faults.cutAfterEvents());
@@ -162,8 +162,13 @@
         batcher.stop();
     }
 
-    private CompletionRequest crossedRequest() {
-        String model = options.models().isEmpty() ? "none" : options.models().getFirst();
+    private CompletionRequest crossedRequest(Generation generation) {
+        for (Generation other : generations.values()) {
+            if (!other.request().id().equals(generation.request().id())) {
+                return other.request();
+            }
+        }
+        String model = generation.request().model();
         return new CompletionRequest(
                 "crossed-" + arrivals, 0, 0, true, model, "crossed prompt " + arrivals, "", 0, true);
     }
@@ -171,7 +176,7 @@
     private LoadReport currentLoad() {
         int queuedTokens = 0;
         for (Generation waiting : batcher.queued()) {
-            queuedTokens += PromptBlocks.tokens(waiting.cachedText());
+            queuedTokens += waiting.promptTokens();
         }
         int decodeTokens = 0;
         for (Generation running : batcher.running()) {
@@ -220,7 +225,7 @@
             }
             int cached = cache.match(blocks(generation)) * PromptBlocks.BLOCK_TOKENS;
             counters.hit(cached);
-            return PromptBlocks.tokens(generation.cachedText()) - cached;
+            return generation.promptTokens() - cached;
         }
 
         @Override
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/Generation.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/Generation.java
@@ -24,6 +24,7 @@
     private final CompletionRequest request;
     private final long arrival;
     private final String answer;
+    private final int promptTokens;
     private final List<AnswerWriter> writers = new ArrayList<>();
     private State state = State.QUEUED;
     private int produced;
@@ -38,6 +39,7 @@
         this.request = request;
         this.arrival = arrival;
         this.answer = AnswerText.answerFor(request.model(), request.prompt(), request.maxTokens());
+        this.promptTokens = PromptBlocks.tokens(cachedText());
         this.produced = request.continueText().length();
         if (!answer.startsWith(request.continueText()) || splitsCharacter(produced)) {
             throw new RefusedException(
@@ -93,6 +95,11 @@
         return request.prompt() + request.continueText();
     }
 
+    /** The tokens of {@link #cachedText()}. */
+    public int promptTokens() {
+        return promptTokens;
+    }
+
     /** The prompt tokens that are still to be read. */
     public int prefillLeft() {
         return prefillLeft;
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/platform/WeightStore.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/platform/WeightStore.java
@@ -49,6 +49,17 @@
         sendRest(key, bytes, exchange);
     }
 
+    private void continueWhenWritable(String key, long left, Exchange exchange) {
+        if (exchange.isWritable()) {
+            sendRest(key, left, exchange);
+            return;
+        }
+        exchange.onWritable(() -> {
+            exchange.onWritable(() -> {});
+            sendRest(key, left, exchange);
+        });
+    }
+
     private void sendRest(String key, long left, Exchange exchange) {
         if (!exchange.isOpen()) {
             return;
@@ -61,7 +72,7 @@
         var unused = loop.schedule(
                 () -> {
                     exchange.write(piece(key, size));
-                    sendRest(key, left - size, exchange);
+                    continueWhenWritable(key, left - size, exchange);
                 },
                 reserve(size),
                 TimeUnit.NANOSECONDS);
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.ibissaddle.standins.HttpCalls.Event;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -144,6 +145,21 @@
             assertThat(low.join().statusCode()).isEqualTo(200);
         }
 
+        @Test
+        void shouldDecodeSlowerInLargerBatch() throws Exception {
+            start(fast("eng-1").stepMicros(0, 1_000));
+            long start = System.nanoTime();
+            var others = List.of("a", "b", "c", "d").stream()
+                    .map(prompt -> calls.sendAsync("POST", "/v1/completions", body(prompt, false, "")))
+                    .toList();
+            others.forEach(CompletableFuture::join);
+            long stepsNanos = AnswerText.DEFAULT_WORDS * 1_000_000L;
+
+            assertThat(System.nanoTime() - start).isGreaterThanOrEqualTo(3 * stepsNanos);
+            assertThat(calls.json("/load").path("capacity_tokens_per_s").asDouble())
+                    .isEqualTo(1_000);
+        }
+
         @Test
         void shouldRefuseWhenQueueIsFull() throws Exception {
             start(fast("eng-1").maxBatch(1).maxQueued(0));
@@ -254,6 +270,17 @@
             assertThat(calls.json("/load").path("running").asInt()).isZero();
         }
 
+        @Test
+        void shouldRunOnWhenAnotherConnectionResumesInTime() throws Exception {
+            start(fast("eng-1").lostConnectionGraceMs(2_000).stepMicros(2_000, 0));
+            engine.setFaults(EngineFaults.none().withCutAfterEvents(1));
+            assertThatThrownBy(() -> complete("r1", body(PROMPT, true, ""))).isInstanceOf(IOException.class);
+            List<Event> all = events(calls.get("/v1/streams/r1?offset=0").body());
+
+            assertThat(joined(all)).isEqualTo(ANSWER);
+            assertThat(engine.stats().cancels()).isZero();
+        }
+
         @Test
         void shouldCancelOnDelete() throws Exception {
             var running = calls.sendAsync(
@@ -302,6 +329,17 @@
             assertThat(engine.faults().crossNext()).isZero();
         }
 
+        @Test
+        void shouldCrossJsonAnswerWithAnotherRequest() throws Exception {
+            complete("r1", body("other prompt", false, ""));
+            engine.setFaults(EngineFaults.none().withCrossNext(1));
+            HttpResponse<String> crossed = complete("r2", body(PROMPT, false, ""));
+
+            assertThat(crossed.headers().firstValue("X-Request-Id")).contains("r1");
+            assertThat(tree(crossed.body()).at("/choices/0/text").asText())
+                    .isEqualTo(AnswerText.answerFor(MODEL, "other prompt", 0));
+        }
+
         @Test
         void shouldAnswerLate() throws Exception {
             engine.setFaults(EngineFaults.none().withLateMs(150));
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/PlatformStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/PlatformStandinTest.java
@@ -110,6 +110,16 @@
             assertThat(calls.get("/config/note").body()).isEqualTo("two");
         }
 
+        @Test
+        void shouldRefuseConnectionsWhileClosedAndKeepValues() throws Exception {
+            put("note", "one");
+            platform.close();
+            assertThatThrownBy(() -> calls.get("/config/note")).isInstanceOf(IOException.class);
+            platform.start();
+
+            assertThat(calls.get("/config/note").body()).isEqualTo("one");
+        }
+
         @Test
         void shouldRefuseValueOverLimit() throws Exception {
             byte[] large = new byte[PlatformStandin.MAX_VALUE_BYTES + 1];
