--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/PlatformStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/PlatformStandinTest.java
@@ -28,7 +28,7 @@
     @AfterEach
     void closePlatform() {
         platform.close();
-        loops.close();
+        HttpStandin.closeEventLoops(loops);
     }
 
     private void start(PlatformOptions options) throws IOException {
@@ -110,6 +110,16 @@
             assertThat(calls.get("/config/note").body()).isEqualTo("two");
         }
 
+        @Test
+        void shouldRefuseConnectionsWhileClosedAndKeepValues() throws Exception {
+            put("note", "one");
+            platform.close();
+            assertThatThrownBy(() -> calls.get("/config/note")).isInstanceOf(IOException.class);
+            platform.start();
+
+            assertThat(calls.get("/config/note").body()).isEqualTo("one");
+        }
+
         @Test
         void shouldRefuseValueOverLimit() throws Exception {
             byte[] large = new byte[PlatformStandin.MAX_VALUE_BYTES + 1];
