--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -1,5 +1,6 @@
 package org.ibissaddle.cli;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** All commands of the binary. */
@@ -7,6 +8,12 @@
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(new ServeCommand(), new ConfigCheckCommand(), new NoteCheckCommand(), new DemoCommand());
+        List<Command> all = new ArrayList<>();
+        all.add(new ServeCommand());
+        all.add(new ConfigCheckCommand());
+        all.add(new NoteCheckCommand());
+        all.add(new DemoCommand());
+        all.addAll(StandinCommands.all());
+        return all;
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -76,7 +77,8 @@
         EventLog log = new EventLog(settings.instance().name());
         MetricRegistry metrics = new MetricRegistry();
         SharedState state = new SharedState(firstBeliefs(settings, clock));
-        EngineClient engines = new EngineClient();
+        EngineClient engines =
+                new EngineClient(InetAddress.getByName(settings.callerAddress().host()));
         Binding binding = new Binding(state, settings.region());
         ModelCalls models = new ModelCalls(settings, state, new LeastOutstanding(), engines, clock, log, metrics);
         RequestPath path = new RequestPath(state, binding, models, Daemon::noTicket, clock, log);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.daemon.backend;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
@@ -22,13 +23,18 @@
 
     private final OkHttpClient http;
 
-    /** Creates a client with a connection pool of its own. */
-    public EngineClient() {
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param source local address that its connections leave from
+     */
+    public EngineClient(InetAddress source) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         http = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
+                .socketFactory(new SourceSocketFactory(source))
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/SourceSocketFactory.java
@@ -0,0 +1,50 @@
+package org.ibissaddle.daemon.backend;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import javax.net.SocketFactory;
+
+/** Creates sockets whose connections leave from one local address. */
+final class SourceSocketFactory extends SocketFactory {
+    private final InetAddress source;
+
+    SourceSocketFactory(InetAddress source) {
+        this.source = source;
+    }
+
+    @Override
+    public Socket createSocket() throws IOException {
+        Socket socket = new Socket();
+        socket.bind(new InetSocketAddress(source, 0));
+        return socket;
+    }
+
+    @Override
+    public Socket createSocket(String host, int port) throws IOException {
+        return connect(new InetSocketAddress(host, port));
+    }
+
+    @Override
+    public Socket createSocket(String host, int port, InetAddress localHost, int localPort) throws IOException {
+        return connect(new InetSocketAddress(host, port));
+    }
+
+    @Override
+    public Socket createSocket(InetAddress host, int port) throws IOException {
+        return connect(new InetSocketAddress(host, port));
+    }
+
+    @Override
+    public Socket createSocket(InetAddress address, int port, InetAddress localAddress, int localPort)
+            throws IOException {
+        return connect(new InetSocketAddress(address, port));
+    }
+
+    private Socket connect(InetSocketAddress target) throws IOException {
+        Socket socket = createSocket();
+        socket.connect(target);
+        return socket;
+    }
+}
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/FaultProxy.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/FaultProxy.java
@@ -43,6 +43,14 @@
         return localAddress(bound.channel());
     }
 
+    /** Gives the connections of a link that come from one source address a link of their own, with faults apart. */
+    public void split(String link, InetAddress source, String ownLink) {
+        onLoop(() -> {
+            links.put(ownLink, existing(link).split(source));
+            return true;
+        });
+    }
+
     /** Delays the bytes of a link each way. */
     public void delay(String link, long ms) {
         change(link, faults -> faults.withDelayMs(ms));
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/proxy/FaultLink.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/proxy/FaultLink.java
@@ -15,8 +15,10 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.ibissaddle.standins.LinkFaults;
@@ -32,6 +34,7 @@
     private final LinkCounters counters = new LinkCounters();
     private final Wire wireToServer = new Wire(this, LinkFaults.Cut::cutsToServer);
     private final Wire wireToClient = new Wire(this, LinkFaults.Cut::cutsToClient);
+    private final Map<InetAddress, FaultLink> bySource = new HashMap<>();
     private LinkFaults faults = LinkFaults.none();
     private Optional<Channel> listener = Optional.empty();
 
@@ -55,6 +58,11 @@
         return bound;
     }
 
+    /** Lets connections from a source address follow the faults of a link of their own, and returns that link. */
+    public FaultLink split(InetAddress source) {
+        return bySource.computeIfAbsent(source, address -> new FaultLink(loop, target));
+    }
+
     /** The faults in force. */
     public LinkFaults faults() {
         return faults;
@@ -80,6 +88,7 @@
     /** Stops listening and resets all connections. */
     public void close() {
         listener.ifPresent(Channel::close);
+        bySource.values().forEach(FaultLink::close);
         List.copyOf(connections).forEach(ProxiedConnection::reset);
     }
 
@@ -153,7 +162,8 @@
     private final class ClientSetup extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel client) {
-            accept(client);
+            InetAddress source = ((InetSocketAddress) client.remoteAddress()).getAddress();
+            bySource.getOrDefault(source, FaultLink.this).accept(client);
         }
     }
 
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
@@ -133,16 +133,18 @@
         @Test
         void shouldRunHigherPriorityFirst() throws Exception {
             start(fast("eng-1").maxBatch(1));
-            engine.setFaults(EngineFaults.none().withStallMs(100));
-            var first = calls.sendAsync("POST", "/v1/completions", body("a", false, ""));
+            String endless = ",\"max_tokens\":30000";
+            var first = calls.sendAsync("POST", "/v1/completions", body("a", false, endless), "X-Request-Id", "hold");
             waitUntil(() -> calls.json("/load").path("running").asInt() == 1);
-            var low = calls.sendAsync("POST", "/v1/completions", body("b", false, ""), "X-Priority", "1");
+            var low = calls.sendAsync("POST", "/v1/completions", body("b", false, endless), "X-Priority", "1");
             waitUntil(() -> calls.json("/load").path("queued").asInt() == 1);
             var high = calls.sendAsync("POST", "/v1/completions", body("c", false, ""), "X-Priority", "7");
-            high.thenRun(() -> assertThat(low).isNotDone()).join();
+            waitUntil(() -> calls.json("/load").path("queued").asInt() == 2);
+            calls.send("DELETE", "/v1/streams/hold", "");
 
-            assertThat(first).isDone();
-            assertThat(low.join().statusCode()).isEqualTo(200);
+            assertThat(high.join().statusCode()).isEqualTo(200);
+            assertThat(low).isNotDone();
+            assertThat(first.handle((answer, failure) -> true).join()).isTrue();
         }
 
         @Test
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/FaultProxyTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/FaultProxyTest.java
@@ -139,6 +139,21 @@
         }
     }
 
+    @Nested
+    class Splitting {
+        @Test
+        void shouldCutOneSourceAndCarryTheOthers() throws Exception {
+            InetAddress cutOff = InetAddress.getByName("127.0.0.7");
+            proxy.split(LINK, cutOff, "from-7");
+            proxy.refuse("from-7");
+
+            try (Socket socket = new Socket(link.getAddress(), link.getPort(), cutOff, 0)) {
+                assertThatThrownBy(() -> socket.getInputStream().read()).isInstanceOf(SocketException.class);
+            }
+            assertThat(call("k1")).isEqualTo(200);
+        }
+    }
+
     @Nested
     class Duplicating {
         @Test
