--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations of {@link org.ibissaddle.admission}. */
+package org.ibissaddle.internal.admission;
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/BaselinePolicy.java
@@ -0,0 +1,144 @@
+package org.ibissaddle.internal.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
+import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.Health;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.ibissaddle.placement.Binding;
+import org.ibissaddle.placement.Placement;
+import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.placement.Work;
+
+/** Plain policies that the production policy is measured against. They keep binding and hops as it does. */
+public final class BaselinePolicy implements PlacementPolicy {
+    private final Rule rule;
+    private final AtomicInteger turn = new AtomicInteger();
+    private final Map<ServerId, AtomicInteger> outstanding = new ConcurrentHashMap<>();
+
+    /** How a server is chosen. */
+    public enum Rule {
+        /** In turn. */
+        ROUND_ROBIN,
+        /** Fewest own requests outstanding. */
+        LEAST_OUTSTANDING,
+        /** Least work in the last report. */
+        LEAST_REPORTED,
+        /** Least loaded region, then fewest own requests outstanding. */
+        ALWAYS_SPILL,
+        /** By hash of the first block of the prompt. */
+        PREFIX_AFFINITY
+    }
+
+    /**
+     * Creates a policy.
+     *
+     * @param rule how it chooses
+     */
+    public BaselinePolicy(Rule rule) {
+        this.rule = rule;
+    }
+
+    @Override
+    public Placement place(Work work, ReleaseNote note, FleetView fleet, long nowMs, RandomGenerator random) {
+        Optional<Refusal> refusal = Binding.check(work.workspace().id(), work.visited(), note, fleet);
+        if (refusal.isPresent()) {
+            return new Placement.Refuse(refusal.get());
+        }
+        if (rule == Rule.ALWAYS_SPILL) {
+            Optional<InstanceView> peer = idlestPeer(work, note, fleet);
+            if (peer.isPresent()) {
+                return new Placement.Forward(peer.get());
+            }
+        }
+        List<ServerView> usable = fleet.servers().stream()
+                .filter(server -> server.pool().equals(work.pool()))
+                .filter(server -> server.region().equals(fleet.self().region()))
+                .filter(server -> server.health() == Health.LIVE)
+                .filter(server -> work.model().isEmpty()
+                        || server.models().contains(work.model().get()))
+                .filter(server -> !work.tried().contains(server.id()))
+                .toList();
+        if (usable.isEmpty()) {
+            String message = "no server of pool \"" + work.pool() + "\" can take the request";
+            return new Placement.Refuse(Refusal.of(RefusalType.NO_SERVER, message, Fate.NOT_RUN));
+        }
+        return new Placement.Serve(choose(work, usable));
+    }
+
+    @Override
+    public Running started(Work work, Placement placement, long nowMs) {
+        if (!(placement instanceof Placement.Serve serve)) {
+            return Ended.INSTANCE;
+        }
+        AtomicInteger count = count(serve.server());
+        count.incrementAndGet();
+        return new Counted(count);
+    }
+
+    private ServerView choose(Work work, List<ServerView> usable) {
+        return switch (rule) {
+            case ROUND_ROBIN -> usable.get(Math.floorMod(turn.getAndIncrement(), usable.size()));
+            case LEAST_OUTSTANDING, ALWAYS_SPILL ->
+                least(usable, server -> count(server).get());
+            case LEAST_REPORTED ->
+                least(usable, server -> server.load().running() + server.load().queued());
+            case PREFIX_AFFINITY ->
+                usable.get(Math.floorMod(
+                        work.prefix().isEmpty()
+                                ? turn.getAndIncrement()
+                                : PrefixIndex.mix(work.prefix().getFirst()),
+                        usable.size()));
+        };
+    }
+
+    private static ServerView least(List<ServerView> servers, ToIntFunction<ServerView> by) {
+        return servers.stream().min(Comparator.comparingInt(by)).orElseThrow();
+    }
+
+    private static Optional<InstanceView> idlestPeer(Work work, ReleaseNote note, FleetView fleet) {
+        Region here = fleet.self().region();
+        return fleet.peers().stream()
+                .filter(peer -> peer.health() == Health.LIVE)
+                .filter(peer -> peer.load() < fleet.self().load())
+                .filter(peer -> Binding.mayForward(work.workspace().id(), peer.region(), work.visited(), note, here))
+                .min(Comparator.comparingDouble(InstanceView::load));
+    }
+
+    private AtomicInteger count(ServerView server) {
+        return outstanding.computeIfAbsent(server.id(), id -> new AtomicInteger());
+    }
+
+    private record Counted(AtomicInteger count, AtomicBoolean done) implements Running {
+        Counted(AtomicInteger count) {
+            this(count, new AtomicBoolean());
+        }
+
+        @Override
+        public void firstToken(long nowMs) {}
+
+        @Override
+        public void generated(int tokens) {}
+
+        @Override
+        public void ended(boolean succeeded, long nowMs) {
+            if (done.compareAndSet(false, true)) {
+                count.decrementAndGet();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ForwardedWork.java
@@ -0,0 +1,35 @@
+package org.ibissaddle.internal.placement;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.placement.Work;
+
+/** Work that another region was asked to do. */
+final class ForwardedWork implements PlacementPolicy.Running {
+    private final RemoteRegion region;
+    private final long tokens;
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    ForwardedWork(Work work, RemoteRegion region, long outputTokens) {
+        this.region = region;
+        tokens = Math.round(work.promptTokens() * Costs.PREFILL) + outputTokens;
+        region.outstandingTokens.addAndGet(tokens);
+    }
+
+    @Override
+    public void firstToken(long nowMs) {}
+
+    @Override
+    public void generated(int count) {}
+
+    @Override
+    public void ended(boolean succeeded, long nowMs) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        region.outstandingTokens.addAndGet(-tokens);
+        if (!succeeded) {
+            region.refused(nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Implementations of {@link org.ibissaddle.placement}. */
+package org.ibissaddle.internal.placement;
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/placement/Binding.java
@@ -0,0 +1,91 @@
+package org.ibissaddle.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.WorkspaceId;
+import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.note.Workspace;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+
+/**
+ * Checks at every hop whether a request may be served in the own region. Needs the request's head only.
+ *
+ * <pre>{@code
+ * Optional<Refusal> refusal = Binding.check(workspaceId, visited, note, fleet);
+ * }</pre>
+ */
+public final class Binding {
+    /** Most regions that may have sent a request on before it is served. */
+    public static final int MAX_HOPS = 1;
+
+    private Binding() {}
+
+    /**
+     * Checks binding and hops. Only the note is believed, never a caller's or peer's word.
+     *
+     * @param id workspace that the request names
+     * @param visited regions that sent it on before
+     * @param note the note in force
+     * @param fleet current beliefs
+     * @return why the request must not be served here; empty when it may be
+     */
+    public static Optional<Refusal> check(WorkspaceId id, List<Region> visited, ReleaseNote note, FleetView fleet) {
+        Region here = fleet.self().region();
+        Optional<Workspace> workspace = note.workspace(id);
+        if (workspace.isEmpty()) {
+            return refusal(
+                    RefusalType.UNKNOWN_WORKSPACE, "workspace \"" + id + "\" is not declared in note " + note.number());
+        }
+        if (!workspace.get().allows(here)) {
+            return Optional.of(wrongRegion(workspace.get(), here, fleet));
+        }
+        if (visited.size() > MAX_HOPS || visited.contains(here)) {
+            return refusal(
+                    RefusalType.FORWARD_REFUSED,
+                    "request of workspace \"" + id + "\" came to region \"" + here + "\" by way of " + visited);
+        }
+        if (!visited.isEmpty() && workspace.get().home().isPresent()) {
+            return refusal(
+                    RefusalType.FORWARD_REFUSED,
+                    "request of workspace \"" + id + "\" is bound to its region and must not be forwarded");
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Tells whether a request may be sent to another region.
+     *
+     * @param id its workspace
+     * @param target region to send it to
+     * @param visited regions that sent it on before
+     * @param note the note in force
+     * @param here the own region
+     * @return whether binding and hops allow it
+     */
+    public static boolean mayForward(
+            WorkspaceId id, Region target, List<Region> visited, ReleaseNote note, Region here) {
+        Optional<Workspace> workspace = note.workspace(id);
+        boolean unbound = workspace.isPresent() && workspace.get().home().isEmpty();
+        return unbound && visited.isEmpty() && !target.equals(here);
+    }
+
+    private static Optional<Refusal> refusal(RefusalType type, String message) {
+        return Optional.of(Refusal.of(type, message, Fate.NOT_RUN));
+    }
+
+    private static Refusal wrongRegion(Workspace workspace, Region here, FleetView fleet) {
+        String message = "workspace \"" + workspace.id() + "\" is bound to region \""
+                + workspace.home().orElseThrow() + "\", this is region \"" + here + "\"";
+        return Refusal.of(RefusalType.WRONG_REGION, message, Fate.NOT_RUN)
+                .use(fleet.peers().stream()
+                        .filter(peer -> workspace.allows(peer.region()))
+                        .filter(peer -> peer.health().takesNewWork())
+                        .map(InstanceView::callerAddress)
+                        .toList());
+    }
+}
--- a/ibissaddle-core/src/main/java/org/ibissaddle/placement/Work.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/placement/Work.java
@@ -1,10 +1,12 @@
 package org.ibissaddle.placement;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.ibissaddle.id.ModelId;
 import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.note.Workspace;
@@ -22,7 +24,7 @@
  * @param maxTokens bound of the tokens to generate
  * @param prefix hash chain of the prompt's blocks, first block first; empty for plain services
  * @param tried servers that must not be tried again
- * @param forwarded whether another instance sent it here; it is then served or refused, never sent on
+ * @param visited regions that sent it on before, first one first; empty when it came from its caller
  */
 public record Work(
         RequestId request,
@@ -35,11 +37,21 @@
         int maxTokens,
         List<Long> prefix,
         Set<ServerId> tried,
-        boolean forwarded) {
+        List<Region> visited) {
     /** Copies the collections. */
     public Work {
         prefix = List.copyOf(prefix);
         tried = Set.copyOf(tried);
+        visited = List.copyOf(visited);
+    }
+
+    /**
+     * Tells whether another instance sent it here; it is then served or refused, never sent on.
+     *
+     * @return whether it was forwarded
+     */
+    public boolean forwarded() {
+        return !visited.isEmpty();
     }
 
     /**
@@ -49,19 +61,9 @@
      * @return the work with that server excluded
      */
     public Work without(ServerId server) {
-        Set<ServerId> more = new java.util.HashSet<>(tried);
+        Set<ServerId> more = new HashSet<>(tried);
         more.add(server);
         return new Work(
-                request,
-                workspace,
-                pool,
-                model,
-                priority,
-                deadlineMs,
-                promptTokens,
-                maxTokens,
-                prefix,
-                more,
-                forwarded);
+                request, workspace, pool, model, priority, deadlineMs, promptTokens, maxTokens, prefix, more, visited);
     }
 }
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/placement/WeightedPolicyTest.java
@@ -0,0 +1,234 @@
+package org.ibissaddle.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.Health;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.fleet.ServerLoad;
+import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class WeightedPolicyTest {
+    private static final long NOW = Fleets.NOW;
+    private static final List<Long> CHAIN = List.of(11L, 12L, 13L, 14L);
+
+    private final WeightedPolicy policy = Placements.weighted(Tuning.defaults());
+    private final ReleaseNote note = Fleets.note(Fleets.FREE, Fleets.BOUND);
+    private final Random random = new Random(7);
+
+    private ServerId serve(Work work, FleetView fleet, long nowMs) {
+        Placement placement = policy.place(work, note, fleet, nowMs, random);
+        assertThat(placement).isInstanceOf(Placement.Serve.class);
+        return ((Placement.Serve) placement).server().id();
+    }
+
+    private PlacementPolicy.Running start(Work work, FleetView fleet, String server, long nowMs) {
+        ServerView view = fleet.servers().stream()
+                .filter(s -> s.id().name().equals(server))
+                .findFirst()
+                .orElseThrow();
+        return policy.started(work, new Placement.Serve(view), nowMs);
+    }
+
+    private Refusal refusal(Work work, FleetView fleet) {
+        Placement placement = policy.place(work, note, fleet, NOW, random);
+        assertThat(placement).isInstanceOf(Placement.Refuse.class);
+        Refusal refusal = ((Placement.Refuse) placement).refusal();
+        assertThat(refusal.fate()).isEqualTo(Fate.NOT_RUN);
+        return refusal;
+    }
+
+    private static FleetView inA(ServerView... servers) {
+        return Fleets.fleet(Fleets.A, 0, List.of(), List.of(servers));
+    }
+
+    @Nested
+    class Choosing {
+        @Test
+        void shouldPreferTheServerThatHoldsThePrefix() {
+            FleetView fleet =
+                    Fleets.fleet(Fleets.A, 0, List.of(), Fleets.servers(Fleets.A, 3, Fleets.load(NOW, 0, 0, 0, 0)));
+            start(Fleets.work("r0", Fleets.FREE, 4_000, CHAIN, List.of()), fleet, "a-s2", NOW)
+                    .ended(true, NOW);
+            for (int i = 0; i < 20; i++) {
+                Work work = Fleets.work("r" + i, Fleets.FREE, 4_000, CHAIN, List.of());
+                assertThat(serve(work, fleet, NOW)).isEqualTo(new ServerId("a-s2"));
+            }
+        }
+
+        @Test
+        void shouldLeaveTheHolderWhenItIsMuchBusier() {
+            FleetView idle = inA(
+                    Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)),
+                    Fleets.server(Fleets.A, "a-s1", Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)));
+            start(Fleets.work("r0", Fleets.FREE, 800, CHAIN, List.of()), idle, "a-s0", NOW)
+                    .ended(true, NOW);
+            start(Fleets.work("r1", Fleets.FREE, 40_000, List.of(), List.of()), idle, "a-s0", NOW);
+            Work work = Fleets.work("r2", Fleets.FREE, 800, CHAIN, List.of());
+            assertThat(serve(work, idle, NOW)).isEqualTo(new ServerId("a-s1"));
+        }
+
+        @Test
+        void shouldForgetThePrefixOfAnEarlierLife() {
+            FleetView before = inA(
+                    Fleets.server(Fleets.A, "a-s0", 1, Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)),
+                    Fleets.server(Fleets.A, "a-s1", 1, Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)));
+            Work work = Fleets.work("r0", Fleets.FREE, 8_000, CHAIN, List.of());
+            start(work, before, "a-s0", NOW).ended(true, NOW);
+            double warm = policy.predictedWaitMs(work, note, before, NOW);
+            FleetView after = inA(
+                    Fleets.server(Fleets.A, "a-s0", 2, Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)),
+                    Fleets.server(Fleets.A, "a-s1", 1, Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)));
+            assertThat(warm).isZero();
+            assertThat(policy.predictedWaitMs(work, note, after, NOW)).isGreaterThan(500);
+        }
+
+        @Test
+        void shouldTrustTheCacheLessAfterGapsAndMoreAfterEvents() {
+            FleetView fleet = inA(Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)));
+            Work work = Fleets.work("r0", Fleets.FREE, 8_000, CHAIN, List.of());
+            start(work, fleet, "a-s0", NOW).ended(true, NOW);
+            policy.cacheGap(new ServerId("a-s0"));
+            double afterGap = policy.predictedWaitMs(work, note, fleet, NOW);
+            for (int i = 0; i < 50; i++) {
+                policy.cacheEvent(new ServerId("a-s0"), 11L, true, NOW);
+            }
+            assertThat(afterGap).isGreaterThan(policy.predictedWaitMs(work, note, fleet, NOW));
+        }
+
+        @Test
+        void shouldNotCountOwnWorkTwiceWhenTheReportAlreadyHasIt() {
+            FleetView first = inA(Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0)));
+            Work work = Fleets.work("r0", Fleets.FREE, 8_000, List.of(), List.of());
+            start(work, first, "a-s0", NOW + 100);
+            double before = policy.predictedWaitMs(work, note, first, NOW + 500);
+            FleetView second =
+                    inA(Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW + 300, 1, 0, 8_000, 50)));
+            assertThat(policy.predictedWaitMs(work, note, second, NOW + 500)).isEqualTo(before);
+        }
+
+        @Test
+        void shouldAddOwnWorkSentAfterTheReport() {
+            FleetView fleet = inA(
+                    Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW - 2_000, 0, 0, 0, 0)),
+                    Fleets.server(Fleets.A, "a-s1", Health.LIVE, Fleets.load(NOW - 2_000, 0, 0, 0, 0)));
+            Map<ServerId, Integer> count = new HashMap<>();
+            for (int i = 0; i < 20; i++) {
+                Work work = Fleets.work("r" + i, Fleets.FREE, 800, List.of(), List.of());
+                ServerId id = serve(work, fleet, NOW);
+                count.merge(id, 1, Integer::sum);
+                start(work, fleet, id.name(), NOW);
+            }
+            assertThat(count.values()).allSatisfy(n -> assertThat(n).isBetween(8, 12));
+        }
+
+        @Test
+        void shouldUseSuspectServersOnlyWhenNoOtherIsLeftAndNeverTriedOnes() {
+            FleetView fleet = inA(
+                    Fleets.server(Fleets.A, "a-s0", Health.SUSPECT, Fleets.load(NOW, 0, 0, 0, 0)),
+                    Fleets.server(Fleets.A, "a-s1", Health.LIVE, Fleets.load(NOW, 9, 5, 9_000, 900)),
+                    Fleets.server(Fleets.A, "a-s2", Health.LEAVING, Fleets.load(NOW, 0, 0, 0, 0)));
+            Work work = Fleets.work("r", Fleets.FREE);
+            assertThat(serve(work, fleet, NOW)).isEqualTo(new ServerId("a-s1"));
+            Work again = work.without(new ServerId("a-s1"));
+            assertThat(serve(again, fleet, NOW)).isEqualTo(new ServerId("a-s0"));
+            assertThat(refusal(again.without(new ServerId("a-s0")), fleet).type())
+                    .isEqualTo(RefusalType.NO_SERVER);
+        }
+    }
+
+    @Nested
+    class Failing {
+        @Test
+        void shouldEjectFailingServersButNeverMoreThanAThird() {
+            FleetView fleet =
+                    Fleets.fleet(Fleets.A, 0, List.of(), Fleets.servers(Fleets.A, 6, Fleets.load(NOW, 0, 0, 0, 0)));
+            policy.place(Fleets.work("r", Fleets.FREE), note, fleet, NOW, random);
+            for (int i = 0; i < 6; i++) {
+                for (int n = 0; n < 5; n++) {
+                    start(Fleets.work("f" + i + n, Fleets.FREE), fleet, "a-s" + i, NOW)
+                            .ended(false, NOW);
+                }
+            }
+            assertThat(policy.forecast(Fleets.POOL, note, fleet, NOW).ejected()).isEqualTo(2);
+            List<ServerId> used = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                used.add(serve(Fleets.work("g" + i, Fleets.FREE), fleet, NOW));
+            }
+            assertThat(used)
+                    .doesNotContain(new ServerId("a-s0"), new ServerId("a-s1"))
+                    .hasSize(200);
+            assertThat(policy.forecast(Fleets.POOL, note, fleet, NOW + 60_000).ejected())
+                    .isZero();
+        }
+
+        @Test
+        void shouldGiveLessToAReturnedServerUntilItsHitRateHasComeUp() {
+            ServerLoad warm = new ServerLoad(NOW, 0, 0, 0, 0, 1_000, 0.8);
+            FleetView old = inA(
+                    Fleets.server(Fleets.A, "a-s0", 1, Health.LIVE, warm),
+                    Fleets.server(Fleets.A, "a-s1", 1, Health.LIVE, warm));
+            for (int i = 0; i < 100; i++) {
+                start(Fleets.work("w" + i, Fleets.FREE), old, "a-s0", NOW).ended(true, NOW);
+            }
+            FleetView settled = inA(
+                    Fleets.server(Fleets.A, "a-s0", 1, Health.LIVE, warm),
+                    Fleets.server(Fleets.A, "a-s1", 1, Health.LIVE, warm));
+            policy.place(Fleets.work("s", Fleets.FREE), note, settled, NOW, random);
+            double cold = spareWith(new ServerLoad(NOW, 0, 0, 0, 0, 1_000, 0.2), warm);
+            double rewarmed = spareWith(new ServerLoad(NOW, 0, 0, 0, 0, 1_000, 0.75), warm);
+            assertThat(cold).isLessThan(0.7 * rewarmed);
+        }
+
+        private double spareWith(ServerLoad returned, ServerLoad warm) {
+            FleetView fleet = inA(
+                    Fleets.server(Fleets.A, "a-s0", 1, Health.LIVE, warm),
+                    Fleets.server(Fleets.A, "a-s1", 2, Health.LIVE, returned));
+            return policy.forecast(Fleets.POOL, note, fleet, NOW).spareTokensPerSecond();
+        }
+    }
+
+    @Nested
+    class Overloaded {
+        @Test
+        void shouldRefuseEarlyWithARetryTimeWhenTheDeadlineCannotBeKept() {
+            FleetView fleet =
+                    inA(Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW, 16, 90, 900_000, 50_000)));
+            Refusal refusal = refusal(Fleets.work("r", Fleets.BOUND), fleet);
+            assertThat(refusal.type()).isEqualTo(RefusalType.OVERLOADED);
+            assertThat(refusal.retryAtMs().orElseThrow()).isGreaterThan(NOW);
+        }
+
+        @Test
+        void shouldSendUnboundWorkToAnIdleRegionAndBoundWorkNowhere() {
+            InstanceView idle = Fleets.instance(Fleets.B, "b-i", Health.LIVE, 0.1, 2_000);
+            FleetView fleet = Fleets.fleet(
+                    Fleets.A,
+                    2,
+                    List.of(idle),
+                    List.of(Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW, 16, 9, 60_000, 5_000))));
+            Set<Class<?>> free = new HashSet<>();
+            for (int i = 0; i < 30; i++) {
+                free.add(policy.place(Fleets.work("f" + i, Fleets.FREE), note, fleet, NOW + i * 100L, random)
+                        .getClass());
+                assertThat(policy.place(Fleets.work("b" + i, Fleets.BOUND), note, fleet, NOW + i * 100L, random))
+                        .isNotInstanceOf(Placement.Forward.class);
+            }
+            assertThat(free).contains(Placement.Forward.class);
+        }
+    }
+}
