Add the note ledger, differences in words, and notes in parts

Cause: a lower number must never replace a higher one, and large notes exceed what the platform holds in one value. Change: NoteLedger (accepted, already in force, older, conflict, refused; freshness; changes since a peer's note), NoteDiff, NoteParts with a digest per part.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/note/Delta.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/note/Delta.java
@@ -69,6 +69,54 @@
         return apply(CanonicalText.sections(base.get()), sections, faults);
     }
 
+    /**
+     * Writes what leads from one note to another.
+     *
+     * @param base the note to start from
+     * @param note the note to arrive at
+     * @return text of a note against the base
+     */
+    public static String between(ReleaseNote base, ReleaseNote note) {
+        Map<String, Section> old = CanonicalText.sections(base);
+        Map<String, Section> next = CanonicalText.sections(note);
+        StringBuilder text = new StringBuilder();
+        write(text, "note", Map.of("number", String.valueOf(note.number())));
+        text.append("base = ").append(base.number()).append('\n');
+        boolean routes = !base.routes().equals(note.routes());
+        for (Section section : old.values()) {
+            if (!next.containsKey(section.title()) || (routes && section.kind().equals("route"))) {
+                write(text, WITHDRAW + " " + section.title(), Map.of());
+            }
+        }
+        for (Section section : next.values()) {
+            Section previous = old.get(section.title());
+            if (section.title().equals("note")) {
+                continue;
+            }
+            if (previous == null || (routes && section.kind().equals("route"))) {
+                write(text, ADD + " " + section.title(), section.values());
+            } else if (!previous.equals(section)) {
+                write(text, CHANGE + " " + section.title(), change(previous, section));
+            }
+        }
+        return text.toString();
+    }
+
+    private static Map<String, String> change(Section before, Section after) {
+        Map<String, String> values = new LinkedHashMap<>();
+        before.values().keySet().forEach(key -> values.put(key, ""));
+        values.putAll(after.values());
+        values.entrySet()
+                .removeIf(entry -> entry.getValue().equals(before.values().get(entry.getKey())));
+        return values;
+    }
+
+    static void write(StringBuilder text, String title, Map<String, String> values) {
+        text.append('[').append(title).append("]\n");
+        values.forEach(
+                (key, value) -> text.append(key).append(" = ").append(value).append('\n'));
+    }
+
     private static Map<String, Section> apply(
             Map<String, Section> base, Map<String, Section> delta, List<NoteFault> faults) {
         Map<String, Section> whole = new LinkedHashMap<>(base);
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/note/NoteLedgerTest.java
@@ -0,0 +1,132 @@
+package org.ibissaddle.note;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class NoteLedgerTest {
+    private static final long NOW_MS = 1_000_000;
+
+    private final NoteLedger ledger = new NoteLedger();
+
+    private static String text(int number) {
+        return NoteReaderTest.WHOLE.replace("number = 7", "number = " + number);
+    }
+
+    private Offered offer(String text) {
+        return ledger.offer(text, NoteSource.PLATFORM, NOW_MS);
+    }
+
+    @Nested
+    class Offers {
+        @Test
+        void shouldAcceptOnlyHigherNumbers() {
+            assertThat(offer(text(7))).isInstanceOf(Offered.Accepted.class);
+            assertThat(offer(text(7))).isEqualTo(new Offered.AlreadyInForce(7));
+            assertThat(offer(text(6))).isEqualTo(new Offered.Older(6, 7));
+            assertThat(offer(text(9))).isInstanceOf(Offered.Accepted.class);
+            assertThat(ledger.number()).isEqualTo(9);
+        }
+
+        @Test
+        void shouldKeepTheContentUnderANumber() {
+            offer(text(7));
+            String digest = ledger.digest();
+
+            assertThat(offer(text(7).replace("priority = 9", "priority = 8"))).isInstanceOf(Offered.Conflict.class);
+            assertThat(ledger.digest()).isEqualTo(digest);
+            assertThat(ledger.status(NOW_MS).trouble()).containsInstanceOf(Offered.Conflict.class);
+        }
+
+        @Test
+        void shouldKeepTheLastGoodNoteWhenOneIsRefused() {
+            offer(text(7));
+
+            assertThat(offer(text(8).replace("home = north", "home = west")))
+                    .isEqualTo(new Offered.Refused(
+                            List.of(new NoteFault.UndeclaredName("workspace yards.a", "home", "west")),
+                            NoteSource.PLATFORM));
+            assertThat(ledger.number()).isEqualTo(7);
+        }
+    }
+
+    @Nested
+    class Freshness {
+        @Test
+        void shouldKnowWhenItWasLastConfirmed() {
+            offer(text(7));
+            ledger.confirm(7, ledger.digest(), NOW_MS + 5);
+            ledger.confirm(7, ledger.digest(), NOW_MS + 3);
+            ledger.confirm(6, "other", NOW_MS + 9);
+
+            assertThat(ledger.freshAtMs()).contains(NOW_MS + 5);
+            assertThat(ledger.behind()).isFalse();
+        }
+
+        @Test
+        void shouldKnowThatItIsBehind() {
+            offer(text(7));
+            ledger.confirm(8, "other", NOW_MS);
+
+            assertThat(ledger.behind()).isTrue();
+        }
+    }
+
+    @Nested
+    class Spreading {
+        @Test
+        void shouldLeadFromAnEarlierNoteToTheOneInForce() throws NoteRejectedException {
+            NoteLedger peer = new NoteLedger();
+            offer(text(7));
+            peer.offer(text(7), NoteSource.PLATFORM, NOW_MS);
+            offer(text(8).replace("home = north\n", "").replace("[route stock]", "[route first]"));
+            offer("[note]\nnumber = 9\nbase = 8\n[withdraw zone north-1]\n");
+
+            List<String> changes = ledger.changesSince(7, peer.digest()).orElseThrow();
+            changes.forEach(change -> peer.offer(change, NoteSource.PEER, NOW_MS));
+
+            assertThat(peer.inForce()).isEqualTo(ledger.inForce());
+            assertThat(ledger.changesSince(5, "unknown")).isEmpty();
+        }
+
+        @Test
+        void shouldJoinOnlyPartsThatTheIndexNames() throws NoteRejectedException {
+            String text = text(7) + "; filler\n".repeat(200_000);
+            Map<String, String> values = NoteParts.split(7, text);
+            NoteParts.Index index = NoteParts.index(values.get(NoteParts.NAME)).orElseThrow();
+
+            assertThat(index.digests()).hasSizeGreaterThan(1);
+            assertThat(values.values()).allMatch(value -> value.length() <= NoteParts.MAX_PART_BYTES);
+            assertThat(NoteParts.join(index, values)).isEqualTo(text);
+
+            Map<String, String> mixed = new java.util.HashMap<>(values);
+            mixed.put("note.2", "other");
+            mixed.remove("note.1");
+            assertThat(org.assertj.core.api.Assertions.catchThrowableOfType(
+                                    NoteRejectedException.class, () -> NoteParts.join(index, mixed))
+                            .faults())
+                    .containsExactly(
+                            new NoteFault.PartMismatch("note.1", "is absent"),
+                            new NoteFault.PartMismatch("note.2", "does not have the digest that the index names"));
+        }
+    }
+
+    @Nested
+    class Differences {
+        @Test
+        void shouldSayWhatChangesAndWhatItTouches() throws NoteRejectedException {
+            ReleaseNote before = NoteReader.read(text(7));
+            ReleaseNote after = NoteReader.read(text(8).replace("home = north\n", "home = south\n")
+                    .replace("[route stock]\npool = ledger\nmethod = GET\npath = /stock\nrepeatable = true\n", ""));
+
+            assertThat(NoteDiff.between(before, after).stream().map(NoteChange::message))
+                    .containsExactly(
+                            "changed workspace yards.a: home from north to south"
+                                    + " (requests in flight finish where they run; new ones follow the new binding)",
+                            "withdrawn route stock (calls in flight finish; new ones go to a later route or are refused)");
+        }
+    }
+}
