--- a/ibissaddle-core/src/main/java/org/ibissaddle/fleet/ServerView.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/fleet/ServerView.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.ibissaddle.id.AdapterId;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.Incarnation;
 import org.ibissaddle.id.ModelId;
@@ -22,6 +23,7 @@
  * @param health what is believed of it
  * @param models model versions resident on it
  * @param load its last load report
+ * @param adapters adapters resident on it
  */
 public record ServerView(
         ServerId id,
@@ -32,9 +34,37 @@
         Address address,
         Health health,
         Set<ModelId> models,
-        ServerLoad load) {
-    /** Copies the models. */
+        ServerLoad load,
+        Set<AdapterId> adapters) {
+    /** Copies the models and adapters. */
     public ServerView {
         models = Set.copyOf(models);
+        adapters = Set.copyOf(adapters);
+    }
+
+    /**
+     * A server without adapters.
+     *
+     * @param id name of the server
+     * @param incarnation its incarnation
+     * @param pool pool that it belongs to
+     * @param region its region
+     * @param zone its availability zone
+     * @param address where it is reached
+     * @param health what is believed of it
+     * @param models model versions resident on it
+     * @param load its last load report
+     */
+    public ServerView(
+            ServerId id,
+            Optional<Incarnation> incarnation,
+            PoolId pool,
+            Region region,
+            Zone zone,
+            Address address,
+            Health health,
+            Set<ModelId> models,
+            ServerLoad load) {
+        this(id, incarnation, pool, region, zone, address, health, models, load, Set.of());
     }
 }
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/membership/Self.java
@@ -0,0 +1,19 @@
+package org.ibissaddle.membership;
+
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+
+/**
+ * What an instance knows of itself from its settings.
+ *
+ * @param id its name
+ * @param incarnation its incarnation
+ * @param region its region
+ * @param zone its availability zone
+ * @param caller where callers reach it
+ * @param control where peers reach it
+ */
+public record Self(InstanceId id, Incarnation incarnation, Region region, Zone zone, Address caller, Address control) {}
