--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Rendezvous.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Rendezvous.java
@@ -4,7 +4,10 @@
 import java.util.Optional;
 import org.ibissaddle.id.InstanceId;
 
-/** Rendezvous hashing: instances with the same candidates choose the same one, and a lost candidate moves only its own keys. */
+/**
+ * Rendezvous hashing: instances with the same candidates choose the same one, and a lost candidate moves only its own
+ * keys.
+ */
 public final class Rendezvous {
     private Rendezvous() {}
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/membership/Gossip.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/membership/Gossip.java
@@ -75,17 +75,7 @@
      * @param control where peers reach it
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({
-        "id",
-        "incarnation",
-        "refutations",
-        "state",
-        "leaving",
-        "region",
-        "zone",
-        "caller",
-        "control"
-    })
+    @JsonPropertyOrder({"id", "incarnation", "refutations", "state", "leaving", "region", "zone", "caller", "control"})
     public record MemberNews(
             InstanceId id,
             Incarnation incarnation,
@@ -130,16 +120,7 @@
      * @param hitPercent share of prompt tokens found in the prefix cache, percent
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({
-        "id",
-        "ageMs",
-        "running",
-        "queued",
-        "queuedTokens",
-        "decodeTokens",
-        "capacity",
-        "hitPercent"
-    })
+    @JsonPropertyOrder({"id", "ageMs", "running", "queued", "queuedTokens", "decodeTokens", "capacity", "hitPercent"})
     public record LoadNews(
             ServerId id,
             long ageMs,
--- a/ibissaddle-core/src/main/java/org/ibissaddle/note/NoteLedger.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/note/NoteLedger.java
@@ -22,6 +22,7 @@
 public final class NoteLedger {
     private final NoteHistory history = new NoteHistory();
     private Optional<ReleaseNote> inForce = Optional.empty();
+    private Optional<ReleaseNote> previous = Optional.empty();
     private Optional<NoteSource> source = Optional.empty();
     private Optional<Offered> trouble = Optional.empty();
     private long acceptedAtMs;
@@ -43,12 +44,23 @@
         try {
             return offer(NoteReader.read(text, this::note), from, nowMs);
         } catch (NoteRejectedException e) {
-            Offered refused = new Offered.Refused(e.faults(), from);
-            trouble = Optional.of(refused);
-            return refused;
+            return refused(e.faults(), from);
         }
     }
 
+    /**
+     * Records that a text was refused.
+     *
+     * @param faults all faults found
+     * @param from where the text came from
+     * @return the refusal
+     */
+    public Offered refused(List<NoteFault> faults, NoteSource from) {
+        Offered refused = new Offered.Refused(faults, from);
+        trouble = Optional.of(refused);
+        return refused;
+    }
+
     /**
      * Offers a note.
      *
@@ -73,6 +85,7 @@
             return conflict;
         }
         inForce.ifPresent(old -> history.add(old, note));
+        previous = inForce;
         inForce = Optional.of(note);
         source = Optional.of(from);
         trouble = Optional.empty();
@@ -84,7 +97,7 @@
      * Records that a source knows no newer note than one.
      *
      * @param number number of the newest note that the source knows; 0 for none
-     * @param digest its digest
+     * @param digest its digest or the leading digits of it; empty when the source does not tell it
      * @param atMs when the source knew it, epoch milliseconds of the own clock
      * @return whether the source contradicts the note in force by other content under its number
      */
@@ -93,7 +106,7 @@
         if (inForce.isEmpty() || number != inForce.get().number()) {
             return false;
         }
-        if (!inForce.get().digest().equals(digest)) {
+        if (!inForce.get().digest().startsWith(digest)) {
             trouble = Optional.of(new Offered.Conflict(number, inForce.get().digest(), digest, NoteSource.PEER));
             return true;
         }
@@ -168,7 +181,14 @@
         return inForce.flatMap(note -> history.chain(number, digest, note));
     }
 
-    private Optional<ReleaseNote> note(long number) {
-        return inForce.filter(note -> note.number() == number);
+    /**
+     * Finds a note that may serve as a base.
+     *
+     * @param number its number
+     * @return the note in force or the one before it, when it has that number
+     */
+    public Optional<ReleaseNote> note(long number) {
+        Optional<ReleaseNote> current = inForce.filter(note -> note.number() == number);
+        return current.isPresent() ? current : previous.filter(note -> note.number() == number);
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/note/NoteParts.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/note/NoteParts.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,7 +40,7 @@
     public record Index(long number, Map<String, String> digests) {
         /** Copies the digests, keeping their order. */
         public Index {
-            digests = java.util.Collections.unmodifiableMap(new LinkedHashMap<>(digests));
+            digests = Collections.unmodifiableMap(new LinkedHashMap<>(digests));
         }
     }
 
@@ -51,19 +52,41 @@
      * @return values by name, parts first; only {@code note} when the text fits in one value
      */
     public static Map<String, String> split(long number, String text) {
+        return split(NAME, number, text);
+    }
+
+    /**
+     * Names the value under which a note stays published as a base of later ones.
+     *
+     * @param number number of the note
+     * @return name of the value
+     */
+    public static String baseName(long number) {
+        return NAME + "-" + number;
+    }
+
+    /**
+     * Splits a text for publishing under a name of its own, for example {@link #baseName}.
+     *
+     * @param base name of the value that holds the text or its index
+     * @param number number of the note
+     * @param text text of the note
+     * @return values by name, parts first
+     */
+    public static Map<String, String> split(String base, long number, String text) {
         Map<String, String> values = new LinkedHashMap<>();
         if (text.getBytes(StandardCharsets.UTF_8).length <= MAX_PART_BYTES) {
-            values.put(NAME, text);
+            values.put(base, text);
             return values;
         }
         StringBuilder index = new StringBuilder("[index]\nnumber = " + number + "\n");
         for (String part : pieces(text)) {
-            String name = NAME + "." + (values.size() + 1);
+            String name = base + "." + (values.size() + 1);
             values.put(name, part);
             index.append("[part ").append(name).append("]\nsha256 = ");
             index.append(Digests.sha256(part)).append('\n');
         }
-        values.put(NAME, index.toString());
+        values.put(base, index.toString());
         return values;
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/note/NoteReader.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/note/NoteReader.java
@@ -76,4 +76,21 @@
     public static Optional<Long> baseOf(String text) {
         return Delta.base(IniText.parse(text, new ArrayList<>()));
     }
+
+    /**
+     * Finds the number that a text names, without reading the rest.
+     *
+     * @param text INI text
+     * @return number of the note, empty when the text has none
+     */
+    public static Optional<Long> numberOf(String text) {
+        Section note = IniText.parse(text, new ArrayList<>()).get("note");
+        try {
+            return note == null
+                    ? Optional.empty()
+                    : Optional.of(Long.parseLong(note.values().get("number")));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
 }
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/membership/MemoryFleet.java
@@ -0,0 +1,443 @@
+package org.ibissaddle.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import org.ibissaddle.fleet.Health;
+import org.ibissaddle.fleet.ServerLoad;
+import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.ModelId;
+import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.Zone;
+
+/** Many control loops in one thread over an in-memory transport with the real encoding and simulated time. */
+final class MemoryFleet {
+    static final long START_MS = 1_700_000_000_000L;
+    static final int REQUEST_HEAD_BYTES = 230;
+    static final int ANSWER_HEAD_BYTES = 130;
+    private static final int POLL_BYTES = 650;
+    private static final long TIMEOUT_MS = 1_000;
+
+    final PlatformModel platform = new PlatformModel();
+    final Map<String, Node> nodes = new TreeMap<>();
+    final Map<String, Backend> servers = new TreeMap<>();
+    private final Map<Address, Node> byControl = new java.util.HashMap<>();
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::order));
+    private final Random random;
+    private long order;
+    long nowMs = START_MS;
+    BiPredicate<String, String> cut = (from, to) -> false;
+
+    MemoryFleet(long seed) {
+        this.random = new Random(seed);
+    }
+
+    private record Task(long atMs, long order, Runnable work) {}
+
+    /** Builds 3 regions with 7 zones; the platform lists all instances and servers. */
+    static MemoryFleet of(long seed, int instances, int serverCount) {
+        MemoryFleet fleet = new MemoryFleet(seed);
+        int zones = Math.min(7, Math.max(3, instances));
+        for (int i = 0; i < instances; i++) {
+            fleet.addNode("i" + i, i % zones);
+        }
+        for (int i = 0; i < serverCount; i++) {
+            fleet.servers.put("server-" + i, new Backend("server-" + i, zone(i % zones), 20_000 + i));
+        }
+        fleet.publishList();
+        fleet.nodes.values().forEach(Node::start);
+        return fleet;
+    }
+
+    private static Place zone(int number) {
+        return new Place(new Region("r" + number % 3), new Zone("r" + number % 3 + "-z" + number / 3));
+    }
+
+    record Place(Region region, Zone zone) {}
+
+    private void addNode(String name, int zone) {
+        int port = 30_000 + nodes.size();
+        Node node = new Node(name, zone(zone), new Address("10.0.0.1", port), new Address("10.0.0.2", port));
+        nodes.put(name, node);
+        byControl.put(node.control, node);
+    }
+
+    List<ListEntry> entries() {
+        List<ListEntry> entries = new ArrayList<>();
+        nodes.values().forEach(node -> entries.add(node.entry()));
+        servers.values().forEach(server -> entries.add(server.entry(false)));
+        return entries;
+    }
+
+    void publishList() {
+        platform.publish(entries(), nowMs);
+    }
+
+    void at(long delayMs, Runnable work) {
+        tasks.add(new Task(nowMs + delayMs, order++, work));
+    }
+
+    void run(long forMs) {
+        long untilMs = nowMs + forMs;
+        while (!tasks.isEmpty() && tasks.peek().atMs() <= untilMs) {
+            Task task = tasks.poll();
+            nowMs = task.atMs();
+            task.work().run();
+        }
+        nowMs = untilMs;
+    }
+
+    /** Runs until something holds and tells how long that took; fails after a limit. */
+    long runUntil(java.util.function.BooleanSupplier holds, long limitMs) {
+        long fromMs = nowMs;
+        while (!holds.getAsBoolean()) {
+            if (nowMs - fromMs >= limitMs) {
+                throw new AssertionError("the condition does not hold after " + limitMs + " ms of simulated time");
+            }
+            run(50);
+        }
+        return nowMs - fromMs;
+    }
+
+    boolean allHold(long number) {
+        return nodes.values().stream()
+                .filter(node -> node.up)
+                .allMatch(node -> node.loop.notes().number() == number);
+    }
+
+    private long delay(Place from, Place to) {
+        long base = from.zone().equals(to.zone()) ? 1 : from.region().equals(to.region()) ? 2 : 28;
+        return base + random.nextInt(3);
+    }
+
+    /** A backend server. */
+    static final class Backend {
+        final String name;
+        final Place place;
+        final Address address;
+        Incarnation incarnation = new Incarnation(START_MS - 1_000, 7);
+        boolean up = true;
+        boolean draining;
+
+        Backend(String name, Place place, int port) {
+            this.name = name;
+            this.place = place;
+            this.address = new Address("10.0.0.3", port);
+        }
+
+        ListEntry entry(boolean leaving) {
+            return new ListEntry(
+                    name,
+                    ListEntry.Kind.SERVER,
+                    Optional.of(new PoolId("inspection")),
+                    place.region(),
+                    place.zone(),
+                    address,
+                    Optional.empty(),
+                    leaving);
+        }
+
+        ServerReport report(long nowMs, Random random) {
+            ServerLoad load = new ServerLoad(
+                    nowMs,
+                    random.nextInt(60),
+                    random.nextInt(10),
+                    random.nextInt(9_000),
+                    random.nextInt(9_000),
+                    2_000,
+                    0.6);
+            Set<ModelId> models = Set.of(new ModelId("dossier", "3"), new ModelId("quick", "1"));
+            return new ServerReport(new ServerId(name), Optional.of(incarnation), load, models, Set.of(), draining);
+        }
+    }
+
+    /** One instance: its loop, and an adapter that performs the loop's actions on the in-memory transport. */
+    final class Node {
+        final String name;
+        final Place place;
+        final Address caller;
+        final Address control;
+        ControlLoop loop;
+        boolean up;
+        boolean seesPlatform = true;
+        long staleByMs;
+        long pausedUntilMs;
+        long bytes;
+        long cpuNanos;
+        int life;
+        List<org.ibissaddle.note.Offered> announced = new ArrayList<>();
+
+        Node(String name, Place place, Address caller, Address control) {
+            this.name = name;
+            this.place = place;
+            this.caller = caller;
+            this.control = control;
+        }
+
+        ListEntry entry() {
+            return new ListEntry(
+                    name,
+                    ListEntry.Kind.INSTANCE,
+                    Optional.empty(),
+                    place.region(),
+                    place.zone(),
+                    caller,
+                    Optional.of(control),
+                    false);
+        }
+
+        void start() {
+            life++;
+            up = true;
+            Incarnation incarnation = new Incarnation(nowMs, life);
+            Self self = new Self(new InstanceId(name), incarnation, place.region(), place.zone(), caller, control);
+            List<Address> seeds = nodes.values().stream()
+                    .filter(node -> node != this)
+                    .limit(3)
+                    .map(node -> node.control)
+                    .toList();
+            loop = ControlLoop.create(self, seeds, new Random(random.nextLong()), nowMs);
+            int thisLife = life;
+            at(random.nextInt((int) ControlLoop.TICK_MS), () -> tick(thisLife));
+        }
+
+        void stop() {
+            up = false;
+            life++;
+        }
+
+        private void tick(int thisLife) {
+            if (thisLife != life) {
+                return;
+            }
+            if (nowMs < pausedUntilMs) {
+                at(pausedUntilMs - nowMs, () -> tick(thisLife));
+                return;
+            }
+            handle(new Event.Tick(), thisLife);
+            at(ControlLoop.TICK_MS, () -> tick(thisLife));
+        }
+
+        void handle(Event event, int thisLife) {
+            if (thisLife != life) {
+                return;
+            }
+            if (nowMs < pausedUntilMs) {
+                at(pausedUntilMs - nowMs, () -> handle(event, thisLife));
+                return;
+            }
+            long fromNanos = System.nanoTime();
+            List<Action> actions = loop.handle(event, nowMs);
+            cpuNanos += System.nanoTime() - fromNanos;
+            actions.forEach(this::perform);
+        }
+
+        private void perform(Action action) {
+            switch (action) {
+                case Action.Exchange exchange ->
+                    call(
+                            exchange.peer(),
+                            exchange.message(),
+                            Gossip.class,
+                            Event.Kind.EXCHANGE,
+                            (to, message) -> to.loop.answer(message, nowMs),
+                            (peer, answer) -> new Event.Answered(peer, answer));
+                case Action.AskNote ask ->
+                    call(
+                            ask.peer(),
+                            ask.request(),
+                            NoteRequest.class,
+                            NoteAnswer.class,
+                            Event.Kind.NOTE,
+                            (to, request) -> to.loop.answer(request),
+                            (peer, answer) -> new Event.NoteAnswered(peer, ask.request(), answer));
+                case Action.AskList ask ->
+                    call(
+                            ask.peer(),
+                            ask.request(),
+                            ListRequest.class,
+                            ListAnswer.class,
+                            Event.Kind.LIST,
+                            (to, request) -> to.loop.answer(request, nowMs),
+                            (peer, answer) -> new Event.ListAnswered(peer, ask.request(), answer));
+                case Action.PollServer poll -> poll(poll.poll());
+                case Action.ReadValue read -> readValue(read);
+                case Action.ReadList read -> readList(read);
+                case Action.Announce announce -> announced.add(announce.outcome());
+            }
+        }
+
+        private void call(
+                Peer peer,
+                Gossip message,
+                Class<Gossip> type,
+                Event.Kind kind,
+                java.util.function.BiFunction<Node, Gossip, Gossip> serve,
+                java.util.function.BiFunction<Peer, Gossip, Event> outcome) {
+            call(peer, message, type, type, kind, serve, outcome);
+        }
+
+        private <Q, A> void call(
+                Peer peer,
+                Q question,
+                Class<Q> asked,
+                Class<A> answered,
+                Event.Kind kind,
+                java.util.function.BiFunction<Node, Q, A> serve,
+                java.util.function.BiFunction<Peer, A, Event> outcome) {
+            int thisLife = life;
+            byte[] body = encode(question);
+            bytes += body.length + REQUEST_HEAD_BYTES;
+            Node to = byControl.get(peer.control());
+            boolean reaches = to != null && !cut.test(name, to.name);
+            boolean[] done = {false};
+            at(TIMEOUT_MS, () -> {
+                if (!done[0]) {
+                    done[0] = true;
+                    handle(new Event.Unanswered(peer, kind), thisLife);
+                }
+            });
+            if (!reaches) {
+                return;
+            }
+            at(
+                    delay(place, to.place),
+                    () -> to.serve(body, asked, serve, reply -> {
+                        if (cut.test(to.name, name)) {
+                            return;
+                        }
+                        at(delay(to.place, place), () -> {
+                            if (!done[0] && thisLife == life) {
+                                done[0] = true;
+                                bytes += reply.length + ANSWER_HEAD_BYTES;
+                                handle(outcome.apply(peer, decode(reply, answered)), thisLife);
+                            }
+                        });
+                    }));
+        }
+
+        private <Q, A> void serve(
+                byte[] body,
+                Class<Q> type,
+                java.util.function.BiFunction<Node, Q, A> serve,
+                java.util.function.Consumer<byte[]> back) {
+            if (!up) {
+                return;
+            }
+            if (nowMs < pausedUntilMs) {
+                at(pausedUntilMs - nowMs, () -> serve(body, type, serve, back));
+                return;
+            }
+            long fromNanos = System.nanoTime();
+            byte[] reply = GossipCodec.encode(serve.apply(this, decode(body, type)));
+            cpuNanos += System.nanoTime() - fromNanos;
+            bytes += body.length + REQUEST_HEAD_BYTES + reply.length + ANSWER_HEAD_BYTES;
+            back.accept(reply);
+        }
+
+        private byte[] encode(Object message) {
+            long fromNanos = System.nanoTime();
+            byte[] body = GossipCodec.encode(message);
+            cpuNanos += System.nanoTime() - fromNanos;
+            return body;
+        }
+
+        private <T> T decode(byte[] body, Class<T> type) {
+            long fromNanos = System.nanoTime();
+            try {
+                return GossipCodec.decode(body, type);
+            } catch (MessageRejectedException e) {
+                throw new AssertionError(e);
+            } finally {
+                cpuNanos += System.nanoTime() - fromNanos;
+            }
+        }
+
+        private void poll(ServerPoll poll) {
+            int thisLife = life;
+            bytes += POLL_BYTES;
+            Backend server = servers.get(poll.server().name());
+            boolean reaches = server.up && !cut.test(name, server.name);
+            at(reaches ? 2 : TIMEOUT_MS, () -> {
+                boolean answers = reaches && server.up;
+                handle(
+                        answers
+                                ? new Event.Reported(server.report(nowMs, random))
+                                : new Event.Unreachable(poll.server()),
+                        thisLife);
+            });
+        }
+
+        private void readValue(Action.ReadValue read) {
+            platform.countRead(nowMs);
+            watch(read.name(), read.untilMs(), life, () -> {
+                Optional<PlatformModel.Version> version = platform.value(read.name(), nowMs - staleByMs);
+                if (version.isEmpty()) {
+                    return Optional.of(new Event.ReadFailed(read.name()));
+                }
+                if (version.get().revision() <= read.afterRevision() && staleByMs == 0) {
+                    return Optional.empty();
+                }
+                bytes += version.get().text().length() + ANSWER_HEAD_BYTES;
+                return Optional.of(new Event.ValueRead(
+                        read.name(), version.get().revision(), version.get().text()));
+            });
+        }
+
+        private void readList(Action.ReadList read) {
+            platform.countRead(nowMs);
+            watch("instances", read.untilMs(), life, () -> {
+                FleetList list = platform.list(nowMs - staleByMs);
+                return list.revision() <= read.afterRevision() && staleByMs == 0
+                        ? Optional.empty()
+                        : Optional.of(new Event.ListRead(list));
+            });
+        }
+
+        private void watch(String what, long untilMs, int thisLife, java.util.function.Supplier<Optional<Event>> look) {
+            at(platform.delayMs, () -> {
+                if (platform.down || !seesPlatform) {
+                    handle(new Event.ReadFailed(what), thisLife);
+                    return;
+                }
+                Optional<Event> event = look.get();
+                if (event.isPresent()) {
+                    handle(event.get(), thisLife);
+                } else if (nowMs >= untilMs) {
+                    bytes += REQUEST_HEAD_BYTES + ANSWER_HEAD_BYTES;
+                    handle(new Event.Unchanged(what), thisLife);
+                } else {
+                    at(50, () -> watch(what, untilMs, thisLife, look));
+                }
+            });
+        }
+
+        Health healthOf(String server) {
+            return loop.view(nowMs).servers().stream()
+                    .filter(view -> view.id().name().equals(server))
+                    .map(ServerView::health)
+                    .findFirst()
+                    .orElse(Health.DOWN);
+        }
+
+        Health healthOfPeer(String peer) {
+            return loop.view(nowMs)
+                    .peer(new InstanceId(peer))
+                    .map(view -> view.health())
+                    .orElse(Health.DOWN);
+        }
+    }
+}
