--- a/ibissaddle-core/src/main/java/org/ibissaddle/outcome/Refusal.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/outcome/Refusal.java
@@ -50,4 +50,14 @@
     public Refusal use(List<Address> others) {
         return new Refusal(type, message, fate, retryAtMs, others);
     }
+
+    /**
+     * The same refusal with another fate, for a caller to whom less or more is known.
+     *
+     * @param other the fate to tell
+     * @return the refusal with that fate
+     */
+    public Refusal withFate(Fate other) {
+        return new Refusal(type, message, other, retryAtMs, instances);
+    }
 }
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/OnceLedgerTest.java
@@ -0,0 +1,251 @@
+package org.ibissaddle.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.WorkspaceId;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.ibissaddle.ticket.Ticket;
+import org.junit.jupiter.api.Test;
+
+class OnceLedgerTest {
+    private static final InstanceId SELF = new InstanceId("a");
+    private static final Incarnation FIRST = new Incarnation(1, 1);
+    private static final OnceLimits LIMITS = new OnceLimits(4, 8, 16, 50);
+    private static final long DEADLINE_MS = 100;
+
+    private static Ticket ticket(String key, Incarnation incarnation) {
+        return new Ticket(key, new PoolId("p"), new WorkspaceId("w"), "c", SELF, incarnation, DEADLINE_MS);
+    }
+
+    private static Outcome ran(int bytes) {
+        return new Outcome.Ran(new Answer(200, Map.of(), new byte[bytes]));
+    }
+
+    private static Permit run(OnceLedger ledger, String key) {
+        return ((Claim.Run) ledger.claim(ticket(key, FIRST), 0)).permit();
+    }
+
+    private static Fate fate(OnceLedger ledger, String key, long nowMs) {
+        return ((Claim.Known) ledger.claim(ticket(key, FIRST), nowMs)).outcome().fate();
+    }
+
+    @Test
+    void shouldGiveOnePermitWhenThreadsRace() throws InterruptedException {
+        for (int round = 0; round < 200; round++) {
+            OnceLedger ledger = new OnceLedger(SELF, FIRST, LIMITS);
+            CountDownLatch start = new CountDownLatch(1);
+            AtomicInteger permits = new AtomicInteger();
+            List<Thread> threads = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                threads.add(Thread.ofVirtual().start(() -> {
+                    awaitQuietly(start);
+                    Claim claim = ledger.claim(ticket("k", FIRST), 0);
+                    if (claim instanceof Claim.Run run && run.permit().maySend(0)) {
+                        permits.incrementAndGet();
+                    }
+                }));
+            }
+            start.countDown();
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            assertThat(permits).hasValue(1);
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch start) {
+        try {
+            start.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Test
+    void shouldNeverRunAKeyThatWasSaidNotToHaveRun() {
+        OnceLedger ledger = new OnceLedger(SELF, FIRST, LIMITS);
+        Permit permit = run(ledger, "k");
+        permit.abandon();
+        assertThat(fate(ledger, "k", 1)).isEqualTo(Fate.NOT_RUN);
+        assertThat(permit.maySend(1)).isFalse();
+    }
+
+    @Test
+    void shouldNotWriteAfterAPauseBeyondTheDeadline() {
+        OnceLedger ledger = new OnceLedger(SELF, FIRST, LIMITS);
+        Permit permit = run(ledger, "k");
+        assertThat(permit.maySend(DEADLINE_MS)).isFalse();
+        permit.abandon();
+        assertThat(fate(ledger, "k", DEADLINE_MS)).isEqualTo(Fate.NOT_RUN);
+    }
+
+    @Test
+    void shouldSayUnknownAfterARestart() {
+        OnceLedger restarted = new OnceLedger(SELF, new Incarnation(2, 1), LIMITS);
+        assertThat(fate(restarted, "k", 0)).isEqualTo(Fate.UNKNOWN);
+    }
+
+    @Test
+    void shouldSayUnknownWhenForgottenEvenIfTheClockIsSetBack() {
+        OnceLedger ledger = new OnceLedger(SELF, FIRST, LIMITS);
+        Permit permit = run(ledger, "k");
+        assertThat(permit.maySend(1)).isTrue();
+        permit.finish(ran(1));
+        ledger.expire(DEADLINE_MS + LIMITS.slackMs());
+        assertThat(ledger.size()).isZero();
+        assertThat(ledger.answerBytes()).isZero();
+        assertThat(fate(ledger, "k", 0)).isEqualTo(Fate.UNKNOWN);
+    }
+
+    @Test
+    void shouldKeepWithinItsBounds() {
+        OnceLedger ledger = new OnceLedger(SELF, FIRST, LIMITS);
+        for (int i = 0; i < LIMITS.maxKeys(); i++) {
+            Permit permit = run(ledger, "k" + i);
+            assertThat(permit.maySend(0)).isTrue();
+            permit.finish(ran(i == 3 ? 9 : 8));
+        }
+        assertThat(ledger.hasRoom()).isFalse();
+        assertThat(ledger.answerBytes()).isEqualTo(16);
+        assertThat(fate(ledger, "k3", 0)).isEqualTo(Fate.RAN);
+        assertThat(fate(ledger, "more", 0)).isEqualTo(Fate.UNKNOWN);
+    }
+
+    @Test
+    void shouldDemandThatOnlyWrittenCallsAreWithdrawn() {
+        Permit permit = run(new OnceLedger(SELF, FIRST, LIMITS), "k");
+        assertThatThrownBy(permit::refusedByReceiver).isInstanceOf(IllegalStateException.class);
+    }
+
+    /** One event of an interleaving; {@code key} picks the key that it is about. */
+    record Event(Kind kind, int key) {}
+
+    enum Kind {
+        SEND,
+        WRITE,
+        RECEIVER_REFUSES,
+        ANSWER,
+        LOSE,
+        PROVE_NOTHING_SENT,
+        DRIVER_FAILS,
+        RESTART,
+        PAUSE,
+        CLOCK_BACK,
+        EXPIRE
+    }
+
+    @Provide
+    Arbitrary<List<Event>> interleavings() {
+        return Arbitraries.of(Kind.values())
+                .flatMap(kind -> Arbitraries.integers().between(0, 2).map(key -> new Event(kind, key)))
+                .list()
+                .ofMinSize(5)
+                .ofMaxSize(60);
+    }
+
+    @Property(seed = "4711", tries = 5_000)
+    void shouldRunAtMostOnceAndSayNotRunOnlyWhenTrue(@ForAll("interleavings") List<Event> events) {
+        Model model = new Model();
+        events.forEach(model::apply);
+    }
+
+    /** What the service saw and what callers were told, against the ledger under test. */
+    private static final class Model {
+        private final Map<Integer, Optional<Permit>> running = new java.util.HashMap<>();
+        private final Map<Integer, Integer> arrivals = new java.util.HashMap<>();
+        private final Map<Integer, Fate> told = new java.util.HashMap<>();
+        private OnceLedger ledger = new OnceLedger(SELF, FIRST, LIMITS);
+        private int life = 1;
+        private long nowMs;
+
+        void apply(Event event) {
+            nowMs++;
+            Optional<Permit> permit = running.getOrDefault(event.key(), Optional.empty());
+            switch (event.kind()) {
+                case SEND -> send(event.key());
+                case WRITE ->
+                    permit.filter(one -> one.maySend(nowMs))
+                            .ifPresent(one -> arrivals.merge(event.key(), 1, Integer::sum));
+                case RECEIVER_REFUSES -> permit.ifPresent(one -> withdraw(event.key(), one));
+                case ANSWER ->
+                    permit.filter(one -> arrivals.getOrDefault(event.key(), 0) > 0)
+                            .ifPresent(one -> hear(event.key(), one.finish(ran(1))));
+                case LOSE -> permit.ifPresent(one -> hear(event.key(), one.finish(lost())));
+                case PROVE_NOTHING_SENT -> permit.ifPresent(one -> hear(event.key(), one.finish(nothingSent())));
+                case DRIVER_FAILS -> permit.ifPresent(Permit::abandon);
+                case RESTART -> restart();
+                case PAUSE -> nowMs += 40;
+                case CLOCK_BACK -> nowMs -= 30;
+                case EXPIRE -> ledger.expire(nowMs);
+            }
+            check();
+        }
+
+        private void send(int key) {
+            switch (ledger.claim(ticket("k" + key, FIRST), nowMs)) {
+                case Claim.Run run -> running.put(key, Optional.of(run.permit()));
+                case Claim.Known known -> hear(key, known.outcome());
+                case Claim.Wait wait -> wait.outcome().thenAccept(outcome -> hear(key, outcome));
+                case Claim.Elsewhere elsewhere -> throw new AssertionError(elsewhere);
+            }
+        }
+
+        private void withdraw(int key, Permit permit) {
+            try {
+                permit.refusedByReceiver();
+                arrivals.merge(key, -1, Integer::sum);
+            } catch (IllegalStateException e) {
+                assertThat(e).hasMessageContaining("was not being sent");
+            }
+        }
+
+        private void restart() {
+            life++;
+            ledger = new OnceLedger(SELF, new Incarnation(life, 1), LIMITS);
+            running.clear();
+        }
+
+        private void hear(int key, Outcome outcome) {
+            told.merge(key, outcome.fate(), (was, is) -> {
+                assertThat(is == Fate.UNKNOWN || was == Fate.UNKNOWN || is == was)
+                        .isTrue();
+                return is == Fate.UNKNOWN ? was : is;
+            });
+        }
+
+        private void check() {
+            arrivals.forEach((key, count) -> assertThat(count).isBetween(0, 1));
+            told.forEach((key, fate) -> {
+                int ran = arrivals.getOrDefault(key, 0);
+                assertThat(fate == Fate.NOT_RUN && ran > 0).as("false not-run").isFalse();
+                assertThat(fate == Fate.RAN && ran == 0).as("false ran").isFalse();
+            });
+        }
+
+        private static Outcome lost() {
+            return new Outcome.Unknown(Refusal.of(RefusalType.BACKEND_FAILED, "lost", Fate.UNKNOWN));
+        }
+
+        private static Outcome nothingSent() {
+            Refusal refusal = Refusal.of(RefusalType.NO_SERVER, "none", Fate.NOT_RUN);
+            return new Outcome.NotRun(new NotRunProof.NothingHanded(), refusal);
+        }
+    }
+}
