Run calls through the request parts: once-only calls, whole streams, crash marks, drain

Cause: the daemon forwarded blindly, cut answers ended cleanly, and calls that may run once only were refused. Change: an adapter that sends a call exactly once or not at all and tells what is certain; tickets in the ask step; forwarding to the owner; streams through the answer guard with resume, restart and continuation; resume by the caller through another instance with signed tokens; crash marks told to the region; drain until given-out answers and tickets are void and no request is open. A refusal of a ticketed call by anyone but its owner never says not-run.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -46,12 +45,8 @@
         Settings settings = settings(Path.of(line.getOptionValue("config")));
         Logging.configure(settings.logLevel());
         try (Daemon daemon = Daemon.start(settings, System::currentTimeMillis)) {
-            CountDownLatch stopped = new CountDownLatch(1);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                daemon.drain();
-                stopped.countDown();
-            }));
-            stopped.await();
+            new StopSignals().await();
+            daemon.drainUntilIdle();
             return 0;
         } catch (IOException e) {
             throw new CommandFailedException(e.getMessage(), e);
--- a/ibissaddle-core/src/main/java/org/ibissaddle/placement/Work.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/placement/Work.java
@@ -51,6 +51,16 @@
     public Work without(ServerId server) {
         Set<ServerId> more = new java.util.HashSet<>(tried);
         more.add(server);
+        return withTried(more);
+    }
+
+    /**
+     * The same work with other servers excluded.
+     *
+     * @param servers the servers not to try
+     * @return the work with exactly those servers excluded
+     */
+    public Work withTried(Set<ServerId> servers) {
         return new Work(
                 request,
                 workspace,
@@ -61,7 +71,7 @@
                 promptTokens,
                 maxTokens,
                 prefix,
-                more,
+                servers,
                 forwarded);
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/Quarantine.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/Quarantine.java
@@ -44,6 +44,15 @@
         return found.refused() ? new Standing.Refused(found.latestMs() + keepMs) : new Standing.Apart(found.crashes());
     }
 
+    /**
+     * Tells whether any request is marked.
+     *
+     * @return whether every request is free
+     */
+    public boolean isEmpty() {
+        return known.get().judgements().isEmpty();
+    }
+
     /**
      * Marks the requests that were in flight at a crash.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/stream/StreamRecovery.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/stream/StreamRecovery.java
@@ -55,6 +55,11 @@
         return new Recovery.Resume(server, guard.relayed());
     }
 
+    /** Notes that an engine that had been silent has answered a resume: it is slow, not gone. */
+    public void stillThere() {
+        idleResumes = Math.max(0, idleResumes - 1);
+    }
+
     /**
      * Decides after an engine turned out to be gone or not to know the stream any more.
      *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -2,19 +2,18 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.ibissaddle.daemon.backend.EngineClient;
 import org.ibissaddle.daemon.caller.CallerServer;
 import org.ibissaddle.daemon.control.AskRoute;
+import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.control.ControlServer;
 import org.ibissaddle.daemon.control.StatusRoute;
 import org.ibissaddle.daemon.log.EventLog;
-import org.ibissaddle.daemon.path.Binding;
 import org.ibissaddle.daemon.path.LeastOutstanding;
-import org.ibissaddle.daemon.path.ModelCalls;
-import org.ibissaddle.daemon.path.RequestPath;
 import org.ibissaddle.daemon.platform.PlatformPoller;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
@@ -25,10 +24,6 @@
 import org.ibissaddle.note.NoteReader;
 import org.ibissaddle.note.NoteRejectedException;
 import org.ibissaddle.note.ReleaseNote;
-import org.ibissaddle.outcome.Fate;
-import org.ibissaddle.outcome.Refusal;
-import org.ibissaddle.outcome.RefusalType;
-import org.ibissaddle.outcome.RefusedException;
 import org.ibissaddle.port.Clock;
 
 /**
@@ -42,25 +37,34 @@
  * }</pre>
  */
 public final class Daemon implements AutoCloseable {
+    private static final long ANSWERS_VALID_MS = AskRoute.ANSWER_VALID_MS + 1_000;
+    private static final long DRAIN_POLL_MS = 50;
+
     private final SharedState state;
-    private final EngineClient engines;
+    private final RequestParts parts;
+    private final EngineClient platformClient;
     private final CallerServer callers;
     private final ControlServer control;
     private final PlatformPoller platform;
+    private final Clock clock;
     private final EventLog log;
 
     private Daemon(
             SharedState state,
-            EngineClient engines,
+            RequestParts parts,
+            EngineClient platformClient,
             CallerServer callers,
             ControlServer control,
             PlatformPoller platform,
+            Clock clock,
             EventLog log) {
         this.state = state;
-        this.engines = engines;
+        this.parts = parts;
+        this.platformClient = platformClient;
         this.callers = callers;
         this.control = control;
         this.platform = platform;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -76,16 +80,17 @@
         EventLog log = new EventLog(settings.instance().name());
         MetricRegistry metrics = new MetricRegistry();
         SharedState state = new SharedState(firstBeliefs(settings, clock));
-        EngineClient engines = new EngineClient();
-        Binding binding = new Binding(state, settings.region());
-        ModelCalls models = new ModelCalls(settings, state, new LeastOutstanding(), engines, clock, log, metrics);
-        RequestPath path = new RequestPath(state, binding, models, Daemon::noTicket, clock, log);
-        CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), path, clock);
-        ControlServer control = ControlServer.start(
-                settings, state, metrics, List.of(new StatusRoute(settings, state), new AskRoute(state, clock)));
-        PlatformPoller platform = new PlatformPoller(settings, state, text -> note(text, log), engines, clock, log);
+        RequestParts parts = RequestParts.create(settings, state, new LeastOutstanding(), clock, log, metrics);
+        EngineClient platformClient = new EngineClient();
+        CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
+        List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
+        routes.add(new StatusRoute(settings, state));
+        routes.add(new AskRoute(state, parts.desk(), clock));
+        ControlServer control = ControlServer.start(settings, state, metrics, routes);
+        PlatformPoller platform =
+                new PlatformPoller(settings, state, text -> note(text, log), platformClient, clock, log);
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
-        return new Daemon(state, engines, callers, control, platform, log);
+        return new Daemon(state, parts, platformClient, callers, control, platform, clock, log);
     }
 
     private static Optional<ReleaseNote> note(String text, EventLog log) {
@@ -97,15 +102,6 @@
         }
     }
 
-    private static void noTicket(
-            org.ibissaddle.daemon.caller.CallerRequest request,
-            org.ibissaddle.note.Workspace workspace,
-            org.ibissaddle.daemon.caller.CallerReply reply)
-            throws RefusedException {
-        throw new RefusedException(
-                Refusal.of(RefusalType.TICKET_REQUIRED, "a call that may run once only needs a ticket", Fate.NOT_RUN));
-    }
-
     private static FleetView firstBeliefs(Settings settings, Clock clock) {
         Incarnation incarnation =
                 new Incarnation(clock.nowMs(), ThreadLocalRandom.current().nextLong());
@@ -128,12 +124,29 @@
         log.info("draining");
     }
 
+    /**
+     * Leaves: drains, serves what still comes while given-out answers and tickets are valid, and waits until no request
+     * is open.
+     *
+     * @throws InterruptedException when the wait is interrupted
+     */
+    public void drainUntilIdle() throws InterruptedException {
+        drain();
+        long acceptUntilMs =
+                Math.max(clock.nowMs() + ANSWERS_VALID_MS, parts.desk().ownTicketsUntilMs());
+        while (clock.nowMs() < acceptUntilMs || parts.path().open() > 0) {
+            Thread.sleep(DRAIN_POLL_MS);
+        }
+        log.info("drained");
+    }
+
     @Override
     public void close() {
         platform.close();
         callers.close();
         control.close();
-        engines.close();
+        parts.close();
+        platformClient.close();
         log.info("stopped");
     }
 }
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -0,0 +1,125 @@
+package org.ibissaddle.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.daemon.backend.StreamClient;
+import org.ibissaddle.daemon.control.ControlRoutes;
+import org.ibissaddle.daemon.log.EventLog;
+import org.ibissaddle.daemon.once.PlainServices;
+import org.ibissaddle.daemon.once.TicketDesk;
+import org.ibissaddle.daemon.path.Binding;
+import org.ibissaddle.daemon.path.ModelCalls;
+import org.ibissaddle.daemon.path.RequestPath;
+import org.ibissaddle.daemon.path.RetryBudgets;
+import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.stream.CrashWatch;
+import org.ibissaddle.daemon.stream.ModelAnswers;
+import org.ibissaddle.daemon.stream.ModelContext;
+import org.ibissaddle.daemon.stream.StreamClaims;
+import org.ibissaddle.daemon.stream.StreamResumes;
+import org.ibissaddle.dispatch.OnceLedger;
+import org.ibissaddle.dispatch.OnceLimits;
+import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.port.Clock;
+import org.ibissaddle.stream.StreamTokens;
+import org.ibissaddle.ticket.DeploymentKey;
+import org.ibissaddle.ticket.Tickets;
+
+/** Builds the parts that requests pass and holds them together. */
+final class RequestParts implements AutoCloseable {
+    private static final long EXPIRY_INTERVAL_MS = 1_000;
+
+    private final RequestPath path;
+    private final TicketDesk desk;
+    private final List<ControlRoutes> peerRoutes;
+    private final StreamClient engines;
+    private final PlainServices services;
+    private final ScheduledExecutorService expiry;
+
+    private RequestParts(
+            RequestPath path,
+            TicketDesk desk,
+            List<ControlRoutes> peerRoutes,
+            StreamClient engines,
+            PlainServices services,
+            ScheduledExecutorService expiry) {
+        this.path = path;
+        this.desk = desk;
+        this.peerRoutes = peerRoutes;
+        this.engines = engines;
+        this.services = services;
+        this.expiry = expiry;
+    }
+
+    static RequestParts create(
+            Settings settings,
+            SharedState state,
+            PlacementPolicy policy,
+            Clock clock,
+            EventLog log,
+            MetricRegistry metrics) {
+        DeploymentKey key = DeploymentKey.of(settings.deploymentKey().bytes());
+        Tickets tickets = Tickets.signedWith(key);
+        StreamTokens tokens = new StreamTokens(key);
+        OnceLedger ledger = new OnceLedger(
+                settings.instance(), state.fleet().self().incarnation().orElseThrow(), OnceLimits.DEFAULT);
+        RetryBudgets budgets = new RetryBudgets();
+        StreamClient engines = new StreamClient();
+        CrashWatch crashes = new CrashWatch(state, key, engines, clock, log);
+        StreamClaims claims = new StreamClaims(state, tokens, engines, clock);
+        ModelContext context = new ModelContext(
+                settings,
+                state,
+                policy,
+                engines,
+                budgets,
+                crashes,
+                claims,
+                tokens,
+                clock,
+                log,
+                metrics.timer("model.first-token"));
+        PlainServices services = new PlainServices(settings, state, policy, budgets, ledger, tickets, clock, log);
+        RequestPath path = new RequestPath(
+                state,
+                new Binding(state, settings.region()),
+                new ModelCalls(settings, state, new ModelAnswers(context)),
+                services,
+                new StreamResumes(context),
+                clock,
+                log);
+        metrics.register("once.keys", (Gauge<Long>) ledger::size);
+        metrics.register("once.answer-bytes", (Gauge<Long>) ledger::answerBytes);
+        metrics.register("requests.open", (Gauge<Integer>) path::open);
+        ScheduledExecutorService expiry = Executors.newSingleThreadScheduledExecutor(
+                Thread.ofVirtual().name("expiry").factory());
+        var unused = expiry.scheduleWithFixedDelay(
+                () -> ledger.expire(clock.nowMs()), EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        TicketDesk desk = new TicketDesk(state, ledger, tickets, clock);
+        return new RequestParts(path, desk, List.of(crashes, claims), engines, services, expiry);
+    }
+
+    RequestPath path() {
+        return path;
+    }
+
+    TicketDesk desk() {
+        return desk;
+    }
+
+    List<ControlRoutes> peerRoutes() {
+        return peerRoutes;
+    }
+
+    @Override
+    public void close() {
+        expiry.shutdownNow();
+        engines.close();
+        services.close();
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
@@ -28,6 +28,7 @@
 /** Reads requests of one connection one after the other; collects each body in bounded memory. */
 final class CallerHandler extends ChannelInboundHandlerAdapter {
     private static final int MAX_PIPELINED_PARTS = 64;
+    private static final String TICKET = "X-Ticket";
 
     private final CallerService service;
     private final int maxBodyBytes;
@@ -129,7 +130,8 @@
         ctx.channel().config().setAutoRead(true);
     }
 
-    private void refuse(ChannelHandlerContext ctx, Refusal refusal) {
+    private void refuse(ChannelHandlerContext ctx, Refusal why) {
+        Refusal refusal = head.headers().contains(TICKET) ? why.withFate(Fate.UNKNOWN) : why;
         refused = true;
         releaseBody();
         ctx.channel().config().setAutoRead(false);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/AskRoute.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/AskRoute.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.ibissaddle.daemon.caller.RefusalJson;
+import org.ibissaddle.daemon.once.TicketDesk;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.id.InvalidNameException;
@@ -28,19 +29,23 @@
 /** Adds {@code POST /v1/ask}: tells a caller which instance to use. */
 public final class AskRoute implements ControlRoutes {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final long ANSWER_VALID_MS = 5_000;
+    /** How long an answer may be used, milliseconds. */
+    public static final long ANSWER_VALID_MS = 5_000;
 
     private final SharedState state;
+    private final TicketDesk desk;
     private final Clock clock;
 
     /**
      * Creates the route.
      *
      * @param state note and beliefs
+     * @param desk gives out tickets
      * @param clock source of time
      */
-    public AskRoute(SharedState state, Clock clock) {
+    public AskRoute(SharedState state, TicketDesk desk, Clock clock) {
         this.state = state;
+        this.desk = desk;
         this.clock = clock;
     }
 
@@ -53,7 +58,7 @@
         ctx.setResponseType(MediaType.json);
         try {
             JsonNode question = JSON.readTree(ctx.body().bytes());
-            return answer(workspace(question)).toString();
+            return answer(workspace(question), question).toString();
         } catch (RefusedException e) {
             ctx.setResponseCode(e.refusal().type().status());
             return new String(RefusalJson.encode(e.refusal()), StandardCharsets.UTF_8);
@@ -85,20 +90,36 @@
         }
     }
 
-    private ObjectNode answer(Workspace workspace) {
+    private ObjectNode answer(Workspace workspace, JsonNode question) {
+        List<InstanceView> candidates = candidates(workspace.home());
+        Optional<TicketDesk.Given> ticket = ticket(workspace, question, candidates);
         ObjectNode root = JSON.createObjectNode();
         var instances = root.putArray("instances");
-        for (InstanceView instance : candidates(workspace.home())) {
-            instances
-                    .addObject()
-                    .put("name", instance.id().name())
-                    .put("address", instance.callerAddress().toString())
-                    .put("zone", instance.zone().name());
+        ticket.ifPresent(given -> add(instances.addObject(), given.owner()));
+        for (InstanceView instance : candidates) {
+            boolean owner =
+                    ticket.filter(given -> given.owner().equals(instance)).isPresent();
+            if (!owner) {
+                add(instances.addObject(), instance);
+            }
         }
         root.put("valid_until_ms", clock.nowMs() + ANSWER_VALID_MS);
+        ticket.ifPresent(given -> root.put("ticket", given.text()));
         return root;
     }
 
+    private Optional<TicketDesk.Given> ticket(Workspace workspace, JsonNode question, List<InstanceView> candidates) {
+        String path = question.path("path").asText("");
+        String method = question.path("method").asText("POST");
+        return path.isEmpty() ? Optional.empty() : desk.give(workspace, method, path, candidates);
+    }
+
+    private static void add(ObjectNode json, InstanceView instance) {
+        json.put("name", instance.id().name());
+        json.put("address", instance.callerAddress().toString());
+        json.put("zone", instance.zone().name());
+    }
+
     private List<InstanceView> candidates(Optional<Region> home) {
         List<InstanceView> all = new ArrayList<>();
         if (!state.draining()) {
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
@@ -0,0 +1,126 @@
+package org.ibissaddle.daemon.once;
+
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.ibissaddle.daemon.backend.ServiceClient;
+import org.ibissaddle.daemon.path.RetryBudgets;
+import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.dispatch.Dispatch;
+import org.ibissaddle.dispatch.Evidence;
+import org.ibissaddle.dispatch.Outcome;
+import org.ibissaddle.dispatch.Permit;
+import org.ibissaddle.dispatch.SendCheck;
+import org.ibissaddle.dispatch.Step;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.ibissaddle.placement.Placement;
+import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.placement.Work;
+import org.ibissaddle.port.Clock;
+
+/** Places and sends calls of plain services until the dispatch says that they are over. */
+final class ServiceDispatcher implements AutoCloseable {
+    private static final long MAX_VIEW_AGE_MS = 60_000;
+
+    private final Settings settings;
+    private final SharedState state;
+    private final PlacementPolicy policy;
+    private final RetryBudgets budgets;
+    private final Clock clock;
+    private final ServiceClient fresh = ServiceClient.withFreshConnections();
+    private final ServiceClient kept = ServiceClient.withKeptConnections();
+
+    ServiceDispatcher(Settings settings, SharedState state, PlacementPolicy policy, RetryBudgets budgets, Clock clock) {
+        this.settings = settings;
+        this.state = state;
+        this.policy = policy;
+        this.budgets = budgets;
+        this.clock = clock;
+    }
+
+    /** Runs a call that may run more than once. */
+    Outcome repeatable(ServiceCall call) {
+        Dispatch dispatch = Dispatch.repeatable(call.deadlineMs(), budgets.of(call.pool()));
+        return run(dispatch, call, Optional.empty());
+    }
+
+    /** Runs a call that may run at most once. */
+    Outcome once(ServiceCall call, Permit permit) {
+        Dispatch dispatch = Dispatch.once(call.deadlineMs(), budgets.of(call.pool()));
+        return run(dispatch, call, Optional.of(permit));
+    }
+
+    private Outcome run(Dispatch dispatch, ServiceCall call, Optional<Permit> permit) {
+        Step step = dispatch.first();
+        while (step instanceof Step.Place place) {
+            Evidence evidence = attempt(place, call, permit);
+            if (evidence instanceof Evidence.SaidNotRun) {
+                permit.ifPresent(Permit::refusedByReceiver);
+            }
+            step = dispatch.next(evidence, clock.nowMs());
+        }
+        return ((Step.Finish) step).outcome();
+    }
+
+    private Evidence attempt(Step.Place step, ServiceCall call, Optional<Permit> permit) {
+        Work work = call.work(step.tried());
+        Placement placement = policy.place(
+                work, state.note().orElseThrow(), state.fleet(), clock.nowMs(), ThreadLocalRandom.current());
+        return switch (placement) {
+            case Placement.Refuse refuse -> new Evidence.NoPlace(refuse.refusal());
+            case Placement.Serve serve -> {
+                PlacementPolicy.Running running = policy.started(work, placement, clock.nowMs());
+                Evidence evidence = send(serve.server(), step, call, permit);
+                running.ended(evidence instanceof Evidence.Answered, clock.nowMs());
+                yield evidence;
+            }
+            case Placement.Forward forward -> permit.isPresent() ? noneHere(call) : forward(forward.peer(), call);
+        };
+    }
+
+    private Evidence send(ServerView server, Step.Place step, ServiceCall call, Optional<Permit> permit) {
+        ServiceClient client = permit.isPresent() ? fresh : kept;
+        return client.send(
+                server.id(),
+                server.address(),
+                call.toServer(step.attempt()),
+                () -> closed(server, call, permit),
+                call.deadlineMs() - clock.nowMs());
+    }
+
+    private Optional<Refusal> closed(ServerView server, ServiceCall call, Optional<Permit> permit) {
+        SendCheck check = new SendCheck(
+                call.workspace().id(), call.pool(), settings.region(), call.deadlineMs(), MAX_VIEW_AGE_MS);
+        Optional<Refusal> refusal = check.refusal(server, state.note().orElseThrow(), state.fleet(), clock.nowMs());
+        if (refusal.isPresent() || permit.isEmpty() || permit.get().maySend(clock.nowMs())) {
+            return refusal;
+        }
+        return Optional.of(
+                Refusal.of(RefusalType.TICKET_EXPIRED, "the deadline of the ticket has passed", Fate.NOT_RUN));
+    }
+
+    private Evidence forward(InstanceView peer, ServiceCall call) {
+        return kept.send(
+                new ServerId(peer.id().name()),
+                peer.callerAddress(),
+                call.toInstance(settings.instance() + ";" + settings.region()),
+                Optional::empty,
+                call.deadlineMs() - clock.nowMs());
+    }
+
+    private static Evidence noneHere(ServiceCall call) {
+        String message = "no server of pool \"" + call.pool() + "\" in this region takes the call";
+        return new Evidence.NoPlace(Refusal.of(RefusalType.NO_SERVER, message, Fate.NOT_RUN));
+    }
+
+    @Override
+    public void close() {
+        fresh.close();
+        kept.close();
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCalls.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCalls.java
@@ -1,31 +1,20 @@
 package org.ibissaddle.daemon.path;
 
-import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Timer;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import okhttp3.Call;
-import okhttp3.Response;
-import okio.BufferedSource;
-import org.ibissaddle.daemon.backend.EngineClient;
 import org.ibissaddle.daemon.caller.CallerReply;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.caller.RequestHead;
-import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
-import org.ibissaddle.id.Address;
+import org.ibissaddle.daemon.stream.ModelAnswers;
 import org.ibissaddle.id.ModelId;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.note.Pool;
@@ -35,10 +24,7 @@
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
 import org.ibissaddle.outcome.RefusedException;
-import org.ibissaddle.placement.Placement;
-import org.ibissaddle.placement.PlacementPolicy;
 import org.ibissaddle.placement.Work;
-import org.ibissaddle.port.Clock;
 
 /** Serves model calls: place, dispatch, relay, account. */
 public final class ModelCalls {
@@ -47,38 +33,19 @@
 
     private final Settings settings;
     private final SharedState state;
-    private final PlacementPolicy policy;
-    private final EngineClient engines;
-    private final Clock clock;
-    private final EventLog log;
-    private final Timer firstToken;
+    private final ModelAnswers answers;
 
     /**
      * Creates the service.
      *
      * @param settings settings of the instance
      * @param state note and beliefs
-     * @param policy decides where requests are served
-     * @param engines calls engines
-     * @param clock source of time
-     * @param log log of the instance
-     * @param metrics where measurements go
+     * @param answers sends calls to engines and relays their answers
      */
-    public ModelCalls(
-            Settings settings,
-            SharedState state,
-            PlacementPolicy policy,
-            EngineClient engines,
-            Clock clock,
-            EventLog log,
-            MetricRegistry metrics) {
+    public ModelCalls(Settings settings, SharedState state, ModelAnswers answers) {
         this.settings = settings;
         this.state = state;
-        this.policy = policy;
-        this.engines = engines;
-        this.clock = clock;
-        this.log = log;
-        this.firstToken = metrics.timer("model.first-token");
+        this.answers = answers;
     }
 
     /**
@@ -121,26 +88,7 @@
         ReleaseNote note = state.note().orElseThrow();
         ModelCall call = ModelCallReader.read(request.body());
         Work work = work(request, workspace, note, call);
-        Placement placement = policy.place(work, note, state.fleet(), clock.nowMs(), ThreadLocalRandom.current());
-        switch (placement) {
-            case Placement.Refuse refuse -> throw new RefusedException(refuse.refusal());
-            case Placement.Serve serve ->
-                dispatch(
-                        request,
-                        work,
-                        placement,
-                        serve.server().address(),
-                        serve.server().id().name(),
-                        reply);
-            case Placement.Forward forward ->
-                dispatch(
-                        request,
-                        work,
-                        placement,
-                        forward.peer().callerAddress(),
-                        forward.peer().id().name(),
-                        reply);
-        }
+        answers.answer(request, work, call.stream(), reply);
     }
 
     private Work work(CallerRequest request, Workspace workspace, ReleaseNote note, ModelCall call)
@@ -152,7 +100,9 @@
                         Fate.NOT_RUN));
         Pool pool = note.poolOf(model).orElseThrow();
         long deadlineMs = RequestFields.deadlineMs(request, settings.limits().defaultDeadlineMs());
-        RequestId id = new RequestId(UUID.randomUUID().toString());
+        boolean forwarded = request.head().header(Headers.HOP).isPresent();
+        Optional<String> named = request.head().header(Headers.REQUEST_ID).filter(name -> forwarded);
+        RequestId id = new RequestId(named.orElseGet(() -> UUID.randomUUID().toString()));
         return new Work(
                 id,
                 workspace,
@@ -164,83 +114,7 @@
                 call.maxTokens(),
                 call.prefix(),
                 Set.of(),
-                request.head().header(Headers.HOP).isPresent());
-    }
-
-    private void dispatch(
-            CallerRequest request, Work work, Placement placement, Address address, String target, CallerReply reply)
-            throws RefusedException, IOException {
-        Map<String, String> headers = new LinkedHashMap<>();
-        headers.put(Headers.REQUEST_ID, work.request().name());
-        headers.put(Headers.ATTEMPT, "0");
-        headers.put(Headers.PRIORITY, Integer.toString(work.priority()));
-        headers.put(Headers.WORKSPACE, work.workspace().id().name());
-        if (placement instanceof Placement.Forward) {
-            headers.put(Headers.HOP, settings.instance() + ";" + settings.region());
-        }
-        Call call = engines.post(address, request.head().path(), headers, request.body());
-        call.timeout().deadline(Math.max(1, work.deadlineMs() - clock.nowMs()), TimeUnit.MILLISECONDS);
-        reply.onGone(call::cancel);
-        PlacementPolicy.Running running = policy.started(work, placement, clock.nowMs());
-        boolean succeeded = false;
-        try (Response response = call.execute()) {
-            relay(response, request, target, running, reply);
-            succeeded = true;
-        } catch (IOException e) {
-            if (reply.started()) {
-                throw e;
-            }
-            throw refused(RefusalType.BACKEND_FAILED, "server \"" + target + "\" failed", Fate.UNKNOWN);
-        } finally {
-            running.ended(succeeded, clock.nowMs());
-            log.fine("served", "request", work.request(), "target", target, "ok", succeeded);
-        }
-    }
-
-    private void relay(
-            Response response, CallerRequest request, String target, PlacementPolicy.Running running, CallerReply reply)
-            throws IOException {
-        Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("content-type", response.header("content-type", "application/json"));
-        headers.put(Headers.INSTANCE, settings.instance().name());
-        headers.put(Headers.SERVER, response.header(Headers.SERVER, target));
-        for (String name : List.of(Headers.REQUEST_ID, Headers.RAN)) {
-            Optional.ofNullable(response.header(name)).ifPresent(value -> headers.put(name, value));
-        }
-        boolean stream = headers.get("content-type").startsWith("text/event-stream");
-        if (!stream) {
-            reply.whole(response.code(), headers, response.body().bytes());
-            return;
-        }
-        reply.start(response.code(), headers);
-        relayEvents(response.body().source(), request, running, reply);
-        reply.end();
-    }
-
-    private void relayEvents(
-            BufferedSource source, CallerRequest request, PlacementPolicy.Running running, CallerReply reply)
-            throws IOException {
-        boolean first = true;
-        StringBuilder event = new StringBuilder();
-        while (true) {
-            String line = source.readUtf8Line();
-            if (line == null) {
-                return;
-            }
-            event.append(line).append('\n');
-            if (!line.isEmpty()) {
-                continue;
-            }
-            if (first) {
-                long nowMs = clock.nowMs();
-                running.firstToken(nowMs);
-                firstToken.update(nowMs - request.arrivedAtMs(), TimeUnit.MILLISECONDS);
-                first = false;
-            }
-            running.generated(1);
-            reply.piece(event.toString().getBytes(StandardCharsets.UTF_8));
-            event.setLength(0);
-        }
+                forwarded);
     }
 
     private static RefusedException refused(RefusalType type, String message, Fate fate) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestFields.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestFields.java
@@ -9,11 +9,18 @@
 import org.ibissaddle.outcome.RefusedException;
 
 /** Reads the gateway's own header fields. */
-final class RequestFields {
+public final class RequestFields {
     private RequestFields() {}
 
-    /** Returns when the caller gives up, epoch milliseconds; the default counts from the arrival. */
-    static long deadlineMs(CallerRequest request, long defaultMs) throws RefusedException {
+    /**
+     * Returns when the caller gives up.
+     *
+     * @param request the request
+     * @param defaultMs deadline of a request that names none, milliseconds after its arrival
+     * @return epoch milliseconds
+     * @throws RefusedException when the field is not a number
+     */
+    public static long deadlineMs(CallerRequest request, long defaultMs) throws RefusedException {
         var text = request.head().header(Headers.DEADLINE);
         if (text.isEmpty()) {
             return request.arrivedAtMs() + defaultMs;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.ibissaddle.daemon.caller.CallerGoneException;
 import org.ibissaddle.daemon.caller.CallerReply;
 import org.ibissaddle.daemon.caller.CallerRequest;
@@ -11,6 +12,7 @@
 import org.ibissaddle.daemon.caller.RequestHead;
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.stream.StreamResumes;
 import org.ibissaddle.outcome.Fate;
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
@@ -25,6 +27,8 @@
     private final Binding binding;
     private final ModelCalls modelCalls;
     private final ServiceCalls serviceCalls;
+    private final StreamResumes resumes;
+    private final AtomicInteger open = new AtomicInteger();
     private final Clock clock;
     private final EventLog log;
 
@@ -35,6 +39,7 @@
      * @param binding check of the workspace's binding
      * @param modelCalls how model calls are served
      * @param serviceCalls how calls of plain services are served
+     * @param resumes how streams are read on
      * @param clock source of time
      * @param log log of the instance
      */
@@ -43,12 +48,14 @@
             Binding binding,
             ModelCalls modelCalls,
             ServiceCalls serviceCalls,
+            StreamResumes resumes,
             Clock clock,
             EventLog log) {
         this.state = state;
         this.binding = binding;
         this.modelCalls = modelCalls;
         this.serviceCalls = serviceCalls;
+        this.resumes = resumes;
         this.clock = clock;
         this.log = log;
     }
@@ -62,28 +69,43 @@
             }
             return Optional.empty();
         } catch (RefusedException e) {
-            logRefusal(e.refusal());
-            return Optional.of(e.refusal());
+            Refusal refusal = unproven(head, e.refusal());
+            logRefusal(refusal);
+            return Optional.of(refusal);
         }
     }
 
     @Override
     public void serve(CallerRequest request, CallerReply reply) {
+        open.incrementAndGet();
         try {
             route(request, reply);
         } catch (RefusedException e) {
-            refuse(reply, e.refusal());
+            refuse(reply, unproven(request.head(), e.refusal()));
         } catch (CallerGoneException e) {
             log.fine("caller-gone", "path", request.head().path());
         } catch (IOException | RuntimeException e) {
             log.warning("request-failed", "path", request.head().path(), "cause", e);
             refuse(reply, Refusal.of(RefusalType.INTERNAL, "the gateway failed to serve the request", Fate.UNKNOWN));
+        } finally {
+            open.decrementAndGet();
         }
     }
 
+    /**
+     * Counts the requests that have not been answered.
+     *
+     * @return open requests
+     */
+    public int open() {
+        return open.get();
+    }
+
     private void route(CallerRequest request, CallerReply reply) throws RefusedException, IOException {
         if (isModelList(request.head())) {
             modelCalls.list(reply);
+        } else if (StreamResumes.covers(request.head())) {
+            resumes.serve(request, binding.require(request.head()), reply);
         } else if (ModelCalls.covers(request.head())) {
             modelCalls.serve(request, binding.require(request.head()), reply);
         } else {
@@ -92,7 +114,7 @@
     }
 
     private void requireRoute(RequestHead head) throws RefusedException {
-        if (ModelCalls.covers(head)) {
+        if (ModelCalls.covers(head) || StreamResumes.covers(head)) {
             return;
         }
         if (state.note().orElseThrow().route(head.method(), head.path()).isEmpty()) {
@@ -105,6 +127,11 @@
         return head.method().equals("GET") && head.path().equals(MODELS_PATH);
     }
 
+    /** Only the owner of a ticket may say that its call was not run: it may have run before this refusal. */
+    private static Refusal unproven(RequestHead head, Refusal refusal) {
+        return head.header(Headers.TICKET).isPresent() ? refusal.withFate(Fate.UNKNOWN) : refusal;
+    }
+
     private void refuse(CallerReply reply, Refusal refusal) {
         logRefusal(refusal);
         if (reply.started()) {
