--- a/ibissaddle-core/src/main/java/org/ibissaddle/placement/Work.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/placement/Work.java
@@ -63,7 +63,27 @@
     public Work without(ServerId server) {
         Set<ServerId> more = new HashSet<>(tried);
         more.add(server);
+        return withTried(more);
+    }
+
+    /**
+     * The same work with other servers excluded.
+     *
+     * @param servers the servers not to try
+     * @return the work with exactly those servers excluded
+     */
+    public Work withTried(Set<ServerId> servers) {
         return new Work(
-                request, workspace, pool, model, priority, deadlineMs, promptTokens, maxTokens, prefix, more, visited);
+                request,
+                workspace,
+                pool,
+                model,
+                priority,
+                deadlineMs,
+                promptTokens,
+                maxTokens,
+                prefix,
+                servers,
+                visited);
     }
 }
