Admit and place model calls by the weighted policy

Cause: the daemon placed by least outstanding requests, without limits, queue or spill. Change: an admission gate in front of placement, serial without a lock; the weighted policy decides; workspace limits of this instance alone until demands are gossiped.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -14,7 +14,6 @@
 import org.ibissaddle.daemon.control.ControlServer;
 import org.ibissaddle.daemon.control.StatusRoute;
 import org.ibissaddle.daemon.log.EventLog;
-import org.ibissaddle.daemon.path.LeastOutstanding;
 import org.ibissaddle.daemon.platform.PlatformPoller;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
@@ -25,6 +24,8 @@
 import org.ibissaddle.note.NoteReader;
 import org.ibissaddle.note.NoteRejectedException;
 import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.placement.Placements;
+import org.ibissaddle.placement.Tuning;
 import org.ibissaddle.port.Clock;
 
 /**
@@ -81,7 +82,8 @@
         EventLog log = new EventLog(settings.instance().name());
         MetricRegistry metrics = new MetricRegistry();
         SharedState state = new SharedState(firstBeliefs(settings, clock));
-        RequestParts parts = RequestParts.create(settings, state, new LeastOutstanding(), clock, log, metrics);
+        RequestParts parts =
+                RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
         EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.ibissaddle.daemon.admission.AdmissionGate;
+import org.ibissaddle.daemon.admission.GatedPolicy;
 import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.backend.StreamClient;
 import org.ibissaddle.daemon.control.ControlRoutes;
@@ -26,6 +28,7 @@
 import org.ibissaddle.dispatch.OnceLedger;
 import org.ibissaddle.dispatch.OnceLimits;
 import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.placement.WeightedPolicy;
 import org.ibissaddle.port.Clock;
 import org.ibissaddle.stream.StreamTokens;
 import org.ibissaddle.ticket.DeploymentKey;
@@ -33,6 +36,7 @@
 
 /** Builds the parts that requests pass and holds them together. */
 final class RequestParts implements AutoCloseable {
+    private static final long ADVANCE_INTERVAL_MS = 50;
     private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final RequestPath path;
@@ -60,7 +64,7 @@
     static RequestParts create(
             Settings settings,
             SharedState state,
-            PlacementPolicy policy,
+            WeightedPolicy weighted,
             Clock clock,
             EventLog log,
             MetricRegistry metrics) {
@@ -69,6 +73,8 @@
         StreamTokens tokens = new StreamTokens(key);
         OnceLedger ledger = new OnceLedger(
                 settings.instance(), state.fleet().self().incarnation().orElseThrow(), OnceLimits.DEFAULT);
+        AdmissionGate gate = new AdmissionGate(state, weighted, clock);
+        PlacementPolicy policy = new GatedPolicy(weighted, gate);
         RetryBudgets budgets = new RetryBudgets();
         StreamClient engines = new StreamClient(SourceSocketFactory.from(settings.callerAddress()));
         CrashWatch crashes = new CrashWatch(state, key, engines, clock, log);
@@ -89,18 +95,22 @@
         RequestPath path = new RequestPath(
                 state,
                 new Binding(state, settings.region()),
-                new ModelCalls(settings, state, new ModelAnswers(context)),
+                new ModelCalls(settings, state, gate, new ModelAnswers(context)),
                 services,
                 new StreamResumes(context),
                 clock,
                 log);
         metrics.register("once.keys", (Gauge<Long>) ledger::size);
         metrics.register("once.answer-bytes", (Gauge<Long>) ledger::answerBytes);
+        metrics.register("requests.waiting", (Gauge<Integer>) gate::size);
         metrics.register("requests.open", (Gauge<Integer>) path::open);
         ScheduledExecutorService expiry = Executors.newSingleThreadScheduledExecutor(
                 Thread.ofVirtual().name("expiry").factory());
         var unused = expiry.scheduleWithFixedDelay(
                 () -> ledger.expire(clock.nowMs()), EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        var unusedAdvance = expiry.scheduleWithFixedDelay(
+                gate::advanceAll, ADVANCE_INTERVAL_MS, ADVANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        var unusedTidy = expiry.scheduleWithFixedDelay(gate::tidy, 0, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         TicketDesk desk = new TicketDesk(state, ledger, tickets, clock);
         return new RequestParts(path, desk, List.of(crashes, claims), engines, services, expiry);
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCalls.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCalls.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
+import org.ibissaddle.daemon.admission.AdmissionGate;
 import org.ibissaddle.daemon.caller.CallerReply;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.caller.RequestHead;
@@ -33,6 +34,7 @@
 
     private final Settings settings;
     private final SharedState state;
+    private final AdmissionGate gate;
     private final ModelAnswers answers;
 
     /**
@@ -40,11 +42,13 @@
      *
      * @param settings settings of the instance
      * @param state note and beliefs
+     * @param gate holds calls until their pool can take them
      * @param answers sends calls to engines and relays their answers
      */
-    public ModelCalls(Settings settings, SharedState state, ModelAnswers answers) {
+    public ModelCalls(Settings settings, SharedState state, AdmissionGate gate, ModelAnswers answers) {
         this.settings = settings;
         this.state = state;
+        this.gate = gate;
         this.answers = answers;
     }
 
@@ -88,6 +92,7 @@
         ReleaseNote note = state.note().orElseThrow();
         ModelCall call = ModelCallReader.read(request.body());
         Work work = work(request, workspace, note, call);
+        gate.enter(work, reply::onGone);
         answers.answer(request, work, call.stream(), reply);
     }
 
