--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionPropertiesTest.java
@@ -0,0 +1,132 @@
+package org.ibissaddle.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.RequestId;
+import org.ibissaddle.id.WorkspaceId;
+import org.ibissaddle.note.Workspace;
+import org.ibissaddle.placement.Work;
+
+class AdmissionPropertiesTest {
+    private static final PoolId POOL = new PoolId("p");
+    private static final long NOW = 5_000_000;
+    private static final double TARGET = 660;
+
+    private static Work work(String id, String workspace, double weight, int prompt, int tokens, long deadlineMs) {
+        Workspace owner = new Workspace(new WorkspaceId(workspace), Optional.empty(), 1_000, weight, 0);
+        return new Work(
+                new RequestId(id),
+                owner,
+                POOL,
+                Optional.empty(),
+                0,
+                deadlineMs,
+                prompt,
+                tokens,
+                List.of(),
+                Set.of(),
+                List.of());
+    }
+
+    private static double cost(Work work) {
+        return work.promptTokens() / 8.0 + work.maxTokens();
+    }
+
+    @Property(seed = "21", tries = 200)
+    void shouldShareByWeightWithinOneRequestOfEach(
+            @ForAll @IntRange(min = 1, max = 5) int weightA,
+            @ForAll @IntRange(min = 1, max = 5) int weightB,
+            @ForAll long seed) {
+        Admission admission = Admissions.fair(600, 1);
+        Random random = new Random(seed);
+        for (int i = 0; i < 250; i++) {
+            arrive(admission, "a", i, weightA, random);
+            arrive(admission, "b", i, weightB, random);
+        }
+        Map<String, Double> served = new HashMap<>(Map.of("a", 0.0, "b", 0.0));
+        double bound = (400 / 8.0 + 50) / weightA + (400 / 8.0 + 50) / weightB;
+        for (int i = 0; i < 150; i++) {
+            Work next = admission.next(POOL, w -> 0, TARGET, NOW).orElseThrow().work();
+            served.merge(next.workspace().id().name(), cost(next), Double::sum);
+            double difference = Math.abs(served.get("a") / weightA - served.get("b") / weightB);
+            assertThat(difference).isLessThanOrEqualTo(bound + 0.01);
+        }
+    }
+
+    private static void arrive(Admission admission, String workspace, int i, int weight, Random random) {
+        int prompt = 1 + random.nextInt(400);
+        int tokens = 1 + random.nextInt(50);
+        Work work = work(workspace + i, workspace, weight, prompt, tokens, NOW + 1_000_000);
+        assertThat(admission.arrive(work, 10_000, TARGET, NOW)).isInstanceOf(Admission.Wait.class);
+    }
+
+    /** One server that takes 100 ms for a request; callers that are refused try again when they were told to. */
+    @Example
+    void shouldEndTheOverloadWhenItsCauseEnds() {
+        Admission admission = Admissions.fair(64, 1);
+        RetryBudget retries = RetryBudget.standard();
+        PriorityQueue<Long> again = new PriorityQueue<>();
+        Deque<Long> server = new ArrayDeque<>();
+        int refusedAfter = 0;
+        int startedDuring = 0;
+        for (int ms = 0; ms < 40_000; ms++) {
+            long now = NOW + ms;
+            boolean surge = ms < 15_000;
+            while (!server.isEmpty() && server.peek() <= now) {
+                server.poll();
+            }
+            boolean fresh = ms % (surge ? 30 : 125) == 0;
+            boolean retried = !again.isEmpty() && again.peek() <= now && again.poll() > 0;
+            if (fresh) {
+                retries.request();
+            }
+            if (fresh || retried) {
+                Work work = work("r" + ms, "w" + ms % 7, 1, 80, 10, now + 3_000);
+                Admission.Verdict verdict = admission.arrive(work, wait(server, now), TARGET, now);
+                startedDuring += surge && serve(verdict, server, now) ? 1 : 0;
+                if (!surge) {
+                    serve(verdict, server, now);
+                }
+                if (verdict instanceof Admission.Refuse refuse) {
+                    refusedAfter += ms > 20_000 ? 1 : 0;
+                    if (retries.tryRetry()) {
+                        again.add(refuse.refusal().retryAtMs().orElseThrow());
+                    }
+                }
+            }
+            Optional<Admission.Released> next = admission.next(POOL, w -> wait(server, now), TARGET, now);
+            boolean started = next.isPresent() && serve(next.get().verdict(), server, now);
+            startedDuring += surge && started ? 1 : 0;
+        }
+        assertThat(startedDuring).isGreaterThan(130);
+        assertThat(refusedAfter).isZero();
+        assertThat(admission.waiting(POOL)).isLessThanOrEqualTo(1);
+        assertThat(again).isEmpty();
+    }
+
+    private static boolean serve(Admission.Verdict verdict, Deque<Long> server, long now) {
+        boolean started = verdict instanceof Admission.Start;
+        if (started) {
+            server.add(Math.max(now, server.isEmpty() ? 0 : server.peekLast()) + 100);
+        }
+        return started;
+    }
+
+    private static double wait(Deque<Long> server, long now) {
+        return server.isEmpty() ? 0 : Math.max(0, server.peekLast() - now);
+    }
+}
