--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PrefixIndex.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PrefixIndex.java
@@ -68,7 +68,10 @@
 
     /** Counts the leading blocks of a chain that a server is believed to hold. */
     int match(List<Long> chain, int server) {
-        int low = 0;
+        if (chain.isEmpty() || !holds(chain.getFirst(), server)) {
+            return 0;
+        }
+        int low = 1;
         int high = chain.size();
         while (low < high) {
             int mid = (low + high) >>> 1;
@@ -89,7 +92,10 @@
      * @return how many were found
      */
     int holders(List<Long> chain, int[] servers) {
-        int low = 0;
+        if (chain.isEmpty() || holders(chain.getFirst(), servers) == 0) {
+            return 0;
+        }
+        int low = 1;
         int high = chain.size();
         while (low < high) {
             int mid = (low + high) >>> 1;
@@ -99,7 +105,7 @@
                 high = mid;
             }
         }
-        return low == 0 ? 0 : holders(chain.get(low - 1), servers);
+        return holders(chain.get(low - 1), servers);
     }
 
     private int holders(long block, int[] servers) {
--- /dev/null
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Gateway.java
@@ -0,0 +1,255 @@
+package org.ibissaddle.proof.policy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.ibissaddle.admission.Admission;
+import org.ibissaddle.admission.Admissions;
+import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.Health;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.fleet.ServerLoad;
+import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.RequestId;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.placement.Placement;
+import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.placement.WeightedPolicy;
+import org.ibissaddle.placement.Work;
+
+/** A plain gateway around a policy: real HTTP to the engines, views refreshed by polling their load reports. */
+final class Gateway {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MAX_TRIES = 3;
+    private static final double PREFILL_COST = 0.125;
+
+    final InstanceId id;
+    final Region region;
+    final PlacementPolicy policy;
+    private final Admission admission = Admissions.fair();
+    private final Map<RequestId, CompletableFuture<Admission.Verdict>> parked = new ConcurrentHashMap<>();
+    private final List<ServerView> servers;
+    private final ReleaseNote note;
+    private final HttpClient http;
+    private volatile FleetView view;
+
+    /** What came of a try. */
+    record Answer(boolean ran, long firstTokenNanos, List<Double> gaps) {}
+
+    Gateway(String name, Region region, PlacementPolicy policy, List<ServerView> servers, World world) {
+        id = new InstanceId(name);
+        this.region = region;
+        this.policy = policy;
+        this.servers = servers;
+        note = world.note;
+        http = world.http;
+        view = new FleetView(self(0, 0), List.of(), servers, now());
+    }
+
+    static long now() {
+        return System.currentTimeMillis();
+    }
+
+    InstanceView self() {
+        return view.self();
+    }
+
+    FleetView view() {
+        return view;
+    }
+
+    /** Polls all engines and takes in what the others said of themselves. */
+    void refresh(List<InstanceView> others) {
+        List<CompletableFuture<ServerView>> asked =
+                servers.stream().map(this::poll).toList();
+        List<ServerView> fresh = asked.stream().map(CompletableFuture::join).toList();
+        long now = now();
+        FleetView next = new FleetView(self(0, 0), others, fresh, now);
+        InstanceView me;
+        if (policy instanceof WeightedPolicy weighted) {
+            WeightedPolicy.Forecast forecast = weighted.forecast(Deployment.POOL, note, next, now);
+            me = self(forecast.load(), forecast.spareTokensPerSecond());
+        } else {
+            me = self(reportedLoad(fresh), 0);
+        }
+        view = new FleetView(me, others, fresh, now);
+        release();
+    }
+
+    /** Admits a request that came from a caller; false when it is refused. */
+    boolean admit(Work work) {
+        if (!(policy instanceof WeightedPolicy weighted)) {
+            return true;
+        }
+        double target = note.weights().firstTokenTargetMs();
+        CompletableFuture<Admission.Verdict> slot = new CompletableFuture<>();
+        parked.put(work.request(), slot);
+        double wait = weighted.predictedWaitMs(work, note, view, now());
+        Admission.Verdict verdict = admission.arrive(work, wait, target, now());
+        if (verdict instanceof Admission.Wait waiting) {
+            waiting.displaced().forEach(this::tell);
+            verdict = slot.join();
+        }
+        parked.remove(work.request());
+        return verdict instanceof Admission.Start;
+    }
+
+    /** Whether another region would take what is refused here. */
+    Placement place(Work work, RandomGenerator random) {
+        return policy.place(work, note, view, now(), random);
+    }
+
+    /** Serves on an engine until the answer ends or the deadline passes without a token. */
+    Answer serve(Work work, Placement.Serve serve, String body, World world) {
+        PlacementPolicy.Running running = policy.started(work, serve, now());
+        List<Double> gaps = new ArrayList<>();
+        long first = 0;
+        boolean whole = false;
+        boolean sent = false;
+        Address address = serve.server().address();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/v1/completions"))
+                .header("X-Request-Id", work.request().name())
+                .header("X-Priority", Integer.toString(work.priority()))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            HttpResponse<InputStream> response = http.send(request, HttpResponse.BodyHandlers.ofInputStream());
+            sent = response.statusCode() == 200;
+            InputStream stream = response.body();
+            var giveUp = world.timer.schedule(() -> close(stream), work.deadlineMs() - now(), TimeUnit.MILLISECONDS);
+            try (BufferedReader lines = new BufferedReader(new InputStreamReader(stream, StandardCharsets.UTF_8))) {
+                long last = 0;
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    if (!line.startsWith("data: ") || !sent) {
+                        continue;
+                    }
+                    long at = System.nanoTime();
+                    whole |= line.equals("data: [DONE]");
+                    if (first == 0) {
+                        giveUp.cancel(false);
+                        first = at;
+                        running.firstToken(now());
+                        release();
+                    } else if (!whole) {
+                        gaps.add((at - last) / 1e6);
+                    }
+                    running.generated(1);
+                    last = at;
+                }
+            }
+        } catch (IOException e) {
+            whole = false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        running.ended(whole || now() >= work.deadlineMs(), now());
+        release();
+        return new Answer(sent, whole ? first : 0, gaps);
+    }
+
+    private void release() {
+        if (!(policy instanceof WeightedPolicy weighted)) {
+            return;
+        }
+        double target = note.weights().firstTokenTargetMs();
+        Optional<Admission.Released> next;
+        do {
+            next = admission.next(
+                    Deployment.POOL, work -> weighted.predictedWaitMs(work, note, view, now()), target, now());
+            next.ifPresent(this::tell);
+        } while (next.isPresent());
+    }
+
+    private void tell(Admission.Released released) {
+        CompletableFuture<Admission.Verdict> slot = parked.get(released.work().request());
+        if (slot != null) {
+            slot.complete(released.verdict());
+        }
+    }
+
+    private CompletableFuture<ServerView> poll(ServerView server) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + server.address() + "/load"))
+                .timeout(Duration.ofMillis(300))
+                .build();
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .thenApply(response -> seen(server, response.body()))
+                .exceptionally(e -> with(server, server.incarnation(), Health.DOWN, ServerLoad.NONE));
+    }
+
+    private static ServerView seen(ServerView server, String body) {
+        try {
+            JsonNode load = JSON.readTree(body);
+            ServerLoad report = new ServerLoad(
+                    load.path("at_ms").asLong(),
+                    load.path("running").asInt(),
+                    load.path("queued").asInt(),
+                    load.path("queued_tokens").asLong(),
+                    load.path("decode_tokens").asLong(),
+                    load.path("capacity_tokens_per_s").asDouble(),
+                    load.path("hit_rate").asDouble());
+            Incarnation life = new Incarnation(load.path("incarnation").asLong(), 0);
+            return with(server, Optional.of(life), Health.LIVE, report);
+        } catch (IOException e) {
+            return with(server, server.incarnation(), Health.SUSPECT, ServerLoad.NONE);
+        }
+    }
+
+    private static ServerView with(ServerView old, Optional<Incarnation> life, Health health, ServerLoad load) {
+        return new ServerView(
+                old.id(), life, old.pool(), old.region(), old.zone(), old.address(), health, old.models(), load);
+    }
+
+    private double reportedLoad(List<ServerView> all) {
+        double ms = 0;
+        int live = 0;
+        for (ServerView server : all) {
+            if (server.health() == Health.LIVE) {
+                ServerLoad load = server.load();
+                double tokens = load.queuedTokens() * PREFILL_COST + load.decodeTokens();
+                ms += tokens / Math.max(1, load.capacityTokensPerSecond()) * 1_000;
+                live++;
+            }
+        }
+        return live == 0 ? 1 : ms / live / note.weights().firstTokenTargetMs();
+    }
+
+    private InstanceView self(double load, double spare) {
+        Address none = new Address("127.0.0.1", 1);
+        return new InstanceView(
+                id, Optional.empty(), region, new Zone(region + "z"), none, none, Health.LIVE, load, spare);
+    }
+
+    private static void close(InputStream stream) {
+        try {
+            stream.close();
+        } catch (IOException e) {
+            throw new IllegalStateException("the answer's stream could not be closed", e);
+        }
+    }
+
+    static int maxTries() {
+        return MAX_TRIES;
+    }
+}
