--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/SourceSocketFactory.java
@@ -0,0 +1,66 @@
+package org.ibissaddle.daemon.backend;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.UnknownHostException;
+import javax.net.SocketFactory;
+import org.ibissaddle.id.Address;
+
+/** Creates sockets whose connections leave from one local address. */
+public final class SourceSocketFactory extends SocketFactory {
+    private final InetAddress source;
+
+    private SourceSocketFactory(InetAddress source) {
+        this.source = source;
+    }
+
+    /**
+     * Sockets that leave from the IP number of an address.
+     *
+     * @param address an address of the instance
+     * @return the factory
+     */
+    public static SourceSocketFactory from(Address address) {
+        try {
+            return new SourceSocketFactory(InetAddress.getByName(address.host()));
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("address " + address + " is no IP number: it should have been checked", e);
+        }
+    }
+
+    @Override
+    public Socket createSocket() throws IOException {
+        Socket socket = new Socket();
+        socket.bind(new InetSocketAddress(source, 0));
+        return socket;
+    }
+
+    @Override
+    public Socket createSocket(String host, int port) throws IOException {
+        return connect(new InetSocketAddress(host, port));
+    }
+
+    @Override
+    public Socket createSocket(String host, int port, InetAddress localHost, int localPort) throws IOException {
+        return connect(new InetSocketAddress(host, port));
+    }
+
+    @Override
+    public Socket createSocket(InetAddress host, int port) throws IOException {
+        return connect(new InetSocketAddress(host, port));
+    }
+
+    @Override
+    public Socket createSocket(InetAddress address, int port, InetAddress localAddress, int localPort)
+            throws IOException {
+        return connect(new InetSocketAddress(address, port));
+    }
+
+    private Socket connect(InetSocketAddress target) throws IOException {
+        Socket socket = createSocket();
+        socket.connect(target);
+        return socket;
+    }
+}
