Keep a time line of events and collect it over all instances

Operators could not see what happened to a request over several processes. Each instance keeps a bounded ring of events stamped by a hybrid logical clock; the command timeline collects the rings, merges them in causal order and says which events are missing and why. Events carry no content, and no name of a workspace that is bound to a region.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -7,6 +7,11 @@
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(new ServeCommand(), new ConfigCheckCommand(), new NoteCheckCommand(), new DemoCommand());
+        return List.of(
+                new ServeCommand(),
+                new ConfigCheckCommand(),
+                new NoteCheckCommand(),
+                new DemoCommand(),
+                new TimelineCommand());
     }
 }
--- /dev/null
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/timeline/TimelinePage.java
@@ -0,0 +1,235 @@
+package org.ibissaddle.cli.timeline;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.ibissaddle.id.RequestId;
+import org.ibissaddle.timeline.Entry;
+import org.ibissaddle.timeline.Event;
+import org.ibissaddle.timeline.Gap;
+import org.ibissaddle.timeline.Origin;
+import org.ibissaddle.timeline.Timeline;
+
+/** Draws a time line as one self-contained page: a lane per process, grouped by region and zone. */
+public final class TimelinePage {
+    private static final int LEFT = 250;
+    private static final int WIDTH = 1150;
+    private static final int TOP = 34;
+    private static final int LANE = 46;
+    private static final int TICKS = 8;
+    private static final int MIN_DISTANCE = 11;
+    private static final Comparator<Origin> LANE_ORDER = Comparator.comparing(Origin::region)
+            .thenComparing(Origin::zone)
+            .thenComparing(Origin::instance)
+            .thenComparing(Origin::incarnation);
+
+    private final Timeline line;
+    private final Optional<RequestId> highlighted;
+    private final List<Origin> lanes;
+    private final Map<Entry, Integer> positions = new HashMap<>();
+    private final StringBuilder svg = new StringBuilder();
+
+    private TimelinePage(Timeline line, Optional<RequestId> highlighted) {
+        this.line = line;
+        this.highlighted = highlighted.or(() -> firstForwarded(line)).or(() -> firstRequest(line));
+        TreeSet<Origin> origins = new TreeSet<>(LANE_ORDER);
+        line.entries().forEach(entry -> origins.add(entry.origin()));
+        this.lanes = List.copyOf(origins);
+    }
+
+    /**
+     * Draws a time line.
+     *
+     * @param line the time line
+     * @param highlighted the request whose way is drawn first, empty for the first one that was forwarded
+     * @return HTML
+     */
+    public static String write(Timeline line, Optional<RequestId> highlighted) {
+        return new TimelinePage(line, highlighted).html();
+    }
+
+    private static Optional<RequestId> firstForwarded(Timeline line) {
+        return line.entries().stream()
+                .filter(entry -> entry.event() instanceof Event.Forwarded)
+                .findFirst()
+                .flatMap(Entry::request);
+    }
+
+    private static Optional<RequestId> firstRequest(Timeline line) {
+        return line.entries().stream()
+                .flatMap(entry -> entry.request().stream())
+                .findFirst();
+    }
+
+    private String html() {
+        place();
+        drawLanes();
+        drawTicks();
+        drawGaps();
+        line.entries().forEach(this::drawEvent);
+        int height = TOP + LANE * Math.max(1, lanes.size()) + 10;
+        return template()
+                .replace("{{width}}", Integer.toString(LEFT + WIDTH + 30))
+                .replace("{{height}}", Integer.toString(height))
+                .replace("{{summary}}", summary())
+                .replace("{{selected}}", escape(highlighted.map(RequestId::name).orElse("")))
+                .replace("{{svg}}", svg)
+                .replace("{{gaps}}", gaps())
+                .replace("{{rows}}", rows());
+    }
+
+    /** Gives each event its column: by time, moved right where events of a lane would cover each other. */
+    private void place() {
+        Map<Origin, Integer> last = new HashMap<>();
+        for (Entry entry : line.entries()) {
+            int x = x(entry.at().physicalMs());
+            int free = last.getOrDefault(entry.origin(), Integer.MIN_VALUE / 2) + MIN_DISTANCE;
+            int column = Math.max(x, free);
+            last.put(entry.origin(), column);
+            positions.put(entry, column);
+        }
+        int end = positions.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+        if (end > LEFT + WIDTH) {
+            double shrink = (double) WIDTH / (end - LEFT);
+            positions.replaceAll((entry, x) -> LEFT + (int) ((x - LEFT) * shrink));
+        }
+    }
+
+    private int x(long atMs) {
+        long first = firstMs();
+        long span = Math.max(1, lastMs() - first);
+        return LEFT + (int) ((atMs - first) * WIDTH / span);
+    }
+
+    private long firstMs() {
+        return line.entries().isEmpty() ? 0 : line.entries().get(0).at().physicalMs();
+    }
+
+    private long lastMs() {
+        return line.entries().isEmpty()
+                ? 1
+                : line.entries().get(line.entries().size() - 1).at().physicalMs();
+    }
+
+    private int y(Origin origin) {
+        return TOP + lanes.indexOf(origin) * LANE + LANE / 2;
+    }
+
+    private void drawLanes() {
+        for (Origin origin : lanes) {
+            int y = y(origin);
+            svg.append("<line class=lane x1=%d y1=%d x2=%d y2=%d />".formatted(LEFT, y, LEFT + WIDTH, y));
+            svg.append("<text x=8 y=%d class=region>%s <tspan class=zone>zone %s</tspan></text>"
+                    .formatted(
+                            y - 4,
+                            escape(origin.region().name()),
+                            escape(origin.zone().name())));
+            svg.append("<text x=8 y=%d>%s</text>"
+                    .formatted(y + 13, escape(origin.instance().name())));
+        }
+    }
+
+    private void drawTicks() {
+        long span = lastMs() - firstMs();
+        for (int i = 0; i <= TICKS; i++) {
+            int x = LEFT + WIDTH * i / TICKS;
+            int bottom = TOP + lanes.size() * LANE;
+            svg.append("<line class=tick x1=%d y1=%d x2=%d y2=%d />".formatted(x, TOP - 8, x, bottom));
+            svg.append("<text class=tick x=%d y=16>+%s s</text>"
+                    .formatted(x, String.format("%.2f", span * i / (double) TICKS / 1000)));
+        }
+    }
+
+    private void drawGaps() {
+        for (Gap gap : line.gaps()) {
+            switch (gap) {
+                case Gap.Overwritten lost ->
+                    drawGap(lost.origin(), lost.before().physicalMs(), gap.text());
+                case Gap.EarlierLife lost -> drawGap(lost.origin(), lost.since().physicalMs(), gap.text());
+                case Gap.Unanswered lost -> {}
+                case Gap.Unheard lost -> {}
+            }
+        }
+    }
+
+    private void drawGap(Origin origin, long untilMs, String text) {
+        int width = Math.max(12, x(untilMs) - LEFT - 6);
+        svg.append("<rect class=gap x=%d y=%d width=%d height=16><title>%s</title></rect>"
+                .formatted(LEFT, y(origin) - 8, width, escape(text)));
+    }
+
+    private void drawEvent(Entry entry) {
+        int x = positions.get(entry);
+        int y = y(entry.origin());
+        Event event = entry.event();
+        String request = escape(entry.request().map(RequestId::name).orElse(""));
+        String title = escape((TimelineText.time(entry) + " " + event.kind() + " " + event.detail()).trim());
+        String shape = event.fault()
+                ? "<path d='M%d %dl6 11h-12z' ".formatted(x, y - 7)
+                : "<circle cx=%d cy=%d r=%d ".formatted(x, y, entry.request().isPresent() ? 4 : 5);
+        String name = event.fault() ? "fault" : event.kind();
+        svg.append(shape)
+                .append("class='e %s' data-r='%s' data-x=%d data-y=%d>".formatted(name, request, x, y))
+                .append("<title>" + title + "</title>")
+                .append(event.fault() ? "</path>" : "</circle>");
+    }
+
+    private String summary() {
+        long faults =
+                line.entries().stream().filter(entry -> entry.event().fault()).count();
+        return "%d events of %d processes, %d faults, %d gaps"
+                .formatted(
+                        line.entries().size(), lanes.size(), faults, line.gaps().size());
+    }
+
+    private String gaps() {
+        StringBuilder items = new StringBuilder();
+        line.gaps()
+                .forEach(gap -> items.append("<li>").append(escape(gap.text())).append("</li>"));
+        return items.isEmpty() ? "<li>none known</li>" : items.toString();
+    }
+
+    private String rows() {
+        StringBuilder rows = new StringBuilder();
+        for (Entry entry : line.entries()) {
+            String request = entry.request().map(RequestId::name).orElse("");
+            rows.append("<tr class='%s' data-r='%s'>".formatted(entry.event().fault() ? "bad" : "", escape(request)));
+            for (String cell : List.of(
+                    TimelineText.time(entry),
+                    entry.origin().region().name(),
+                    entry.origin().instance().name(),
+                    TimelineText.shorten(request),
+                    entry.event().kind(),
+                    entry.event().detail())) {
+                rows.append("<td>").append(escape(cell)).append("</td>");
+            }
+            rows.append("</tr>\n");
+        }
+        return rows.toString();
+    }
+
+    private static String escape(String text) {
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("'", "&#39;")
+                .replace("\"", "&quot;");
+    }
+
+    private static String template() {
+        try (InputStream in = TimelinePage.class.getResourceAsStream("/timeline/page.html")) {
+            if (in == null) {
+                throw new IllegalStateException("the binary lacks the resource \"timeline/page.html\"");
+            }
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException("the resource \"timeline/page.html\" cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/timeline/Origin.java
@@ -0,0 +1,16 @@
+package org.ibissaddle.timeline;
+
+import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+
+/**
+ * The process that events come from.
+ *
+ * @param instance name of the instance
+ * @param incarnation its life
+ * @param region its region
+ * @param zone its availability zone
+ */
+public record Origin(InstanceId instance, Incarnation incarnation, Region region, Zone zone) {}
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/timeline/TimelinePropertyTest.java
@@ -0,0 +1,51 @@
+package org.ibissaddle.timeline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.ibissaddle.id.Incarnation;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+
+class TimelinePropertyTest {
+    private static final Origin ORIGIN =
+            new Origin(new InstanceId("a"), new Incarnation(1, 2), new Region("north"), new Zone("n-1"));
+    private static final EventRing.Snapshot RING = new EventRing.Snapshot(
+            ORIGIN, 1, List.of(new Entry(ORIGIN, 0, new Stamp(1, 0), Optional.empty(), new Event.NoteInForce(3, "d"))));
+
+    @Property(seed = "71", tries = 300)
+    void shouldOrderReceiptBehindSending(
+            @ForAll @IntRange(max = 30_000) int senderMs, @ForAll @IntRange(max = 30_000) int receiverMs) {
+        Stamp sent = Stamp.ZERO.next(senderMs);
+        Stamp got = Stamp.ZERO.next(receiverMs).receive(sent, receiverMs);
+        assertThat(got).isGreaterThan(sent);
+    }
+
+    @Property(seed = "72", tries = 300)
+    void shouldNeverGoBack(@ForAll List<@IntRange(max = 1000) Integer> clock) {
+        Stamp last = Stamp.ZERO;
+        for (int nowMs : clock) {
+            Stamp next = last.next(nowMs);
+            assertThat(next).isGreaterThan(last);
+            assertThat(Stamp.parse(next.toString())).contains(next);
+            last = next;
+        }
+    }
+
+    @Property(seed = "73", tries = 300)
+    void shouldRefuseMutatedTextWithAType(@ForAll @IntRange(max = 400) int at, @ForAll char put) {
+        String json = TimelineJson.write(RING);
+        int index = at % json.length();
+        String mutated = json.substring(0, index) + put + json.substring(index + 1);
+        try {
+            TimelineJson.read(mutated);
+        } catch (TimelineFormatException e) {
+            assertThat(e).hasMessageContaining("not a time line");
+        }
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -18,6 +18,10 @@
 import org.ibissaddle.daemon.platform.PlatformPoller;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.timeline.Recorder;
+import org.ibissaddle.daemon.timeline.RecordingPolicy;
+import org.ibissaddle.daemon.timeline.StampInterceptor;
+import org.ibissaddle.daemon.timeline.TimelineRoute;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
@@ -30,6 +34,7 @@
 import org.ibissaddle.outcome.RefusalType;
 import org.ibissaddle.outcome.RefusedException;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.timeline.Origin;
 
 /**
  * One entry instance.
@@ -75,14 +80,20 @@
     public static Daemon start(Settings settings, Clock clock) throws IOException {
         EventLog log = new EventLog(settings.instance().name());
         MetricRegistry metrics = new MetricRegistry();
-        SharedState state = new SharedState(firstBeliefs(settings, clock));
-        EngineClient engines = new EngineClient();
+        FleetView beliefs = firstBeliefs(settings, clock);
+        Recorder recorder = new Recorder(origin(beliefs.self()), clock);
+        SharedState state = new SharedState(beliefs, recorder);
+        EngineClient engines = new EngineClient(new StampInterceptor(recorder));
         Binding binding = new Binding(state, settings.region());
-        ModelCalls models = new ModelCalls(settings, state, new LeastOutstanding(), engines, clock, log, metrics);
+        ModelCalls models = new ModelCalls(
+                settings, state, new RecordingPolicy(new LeastOutstanding(), recorder), engines, clock, log, metrics);
         RequestPath path = new RequestPath(state, binding, models, Daemon::noTicket, clock, log);
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), path, clock);
         ControlServer control = ControlServer.start(
-                settings, state, metrics, List.of(new StatusRoute(settings, state), new AskRoute(state, clock)));
+                settings,
+                state,
+                metrics,
+                List.of(new StatusRoute(settings, state), new AskRoute(state, clock), new TimelineRoute(recorder)));
         PlatformPoller platform = new PlatformPoller(settings, state, text -> note(text, log), engines, clock, log);
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
         return new Daemon(state, engines, callers, control, platform, log);
@@ -106,6 +117,10 @@
                 Refusal.of(RefusalType.TICKET_REQUIRED, "a call that may run once only needs a ticket", Fate.NOT_RUN));
     }
 
+    private static Origin origin(InstanceView self) {
+        return new Origin(self.id(), self.incarnation().orElseThrow(), self.region(), self.zone());
+    }
+
     private static FleetView firstBeliefs(Settings settings, Clock clock) {
         Incarnation incarnation =
                 new Incarnation(clock.nowMs(), ThreadLocalRandom.current().nextLong());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
@@ -6,6 +6,7 @@
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
+import okhttp3.Interceptor;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -24,12 +25,22 @@
 
     /** Creates a client with a connection pool of its own. */
     public EngineClient() {
+        this(chain -> chain.proceed(chain.request()));
+    }
+
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param interceptor sees each call before it is sent
+     */
+    public EngineClient(Interceptor interceptor) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         http = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
+                .addInterceptor(interceptor)
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .followSslRedirects(false)
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -11,11 +11,13 @@
 import org.ibissaddle.daemon.caller.RequestHead;
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.outcome.Fate;
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
 import org.ibissaddle.outcome.RefusedException;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.timeline.Event;
 
 /** The way of a request: admit and bind on its head, then place, dispatch, relay and account. */
 public final class RequestPath implements CallerService {
@@ -55,6 +57,7 @@
 
     @Override
     public Optional<Refusal> check(RequestHead head) {
+        state.recorder().receive(head.header(Recorder.HEADER));
         try {
             if (!isModelList(head)) {
                 binding.require(head);
@@ -63,6 +66,8 @@
             return Optional.empty();
         } catch (RefusedException e) {
             logRefusal(e.refusal());
+            state.recorder()
+                    .record(new Event.Refused(e.refusal().type(), e.refusal().fate()));
             return Optional.of(e.refusal());
         }
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
@@ -3,22 +3,36 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.timeline.Event;
 
 /** The note in force and the beliefs of one instance. Each is an immutable snapshot that is replaced as a whole. */
 public final class SharedState {
     private final AtomicReference<Optional<ReleaseNote>> note = new AtomicReference<>(Optional.empty());
     private final AtomicReference<FleetView> fleet;
     private final AtomicBoolean draining = new AtomicBoolean();
+    private final Recorder recorder;
 
     /**
      * Starts without a note.
      *
      * @param fleet first beliefs
+     * @param recorder records changes for the time line
      */
-    public SharedState(FleetView fleet) {
+    public SharedState(FleetView fleet, Recorder recorder) {
         this.fleet = new AtomicReference<>(fleet);
+        this.recorder = recorder;
+    }
+
+    /**
+     * Returns the recorder of events.
+     *
+     * @return the recorder
+     */
+    public Recorder recorder() {
+        return recorder;
     }
 
     /**
@@ -37,6 +51,7 @@
      */
     public void putInForce(ReleaseNote next) {
         note.set(Optional.of(next));
+        recorder.record(new Event.NoteInForce(next.number(), next.digest()));
     }
 
     /**
@@ -54,7 +69,8 @@
      * @param next the new snapshot
      */
     public void believe(FleetView next) {
-        fleet.set(next);
+        FleetView last = fleet.getAndSet(next);
+        HealthChanges.between(last, next).forEach(recorder::record);
     }
 
     /**
@@ -68,6 +84,8 @@
 
     /** Starts to drain; there is no way back. */
     public void drain() {
-        draining.set(true);
+        if (draining.compareAndSet(false, true)) {
+            recorder.record(new Event.Draining());
+        }
     }
 }
