--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/timeline/TimelinePage.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/timeline/TimelinePage.java
@@ -72,6 +72,8 @@
         drawLanes();
         drawTicks();
         drawGaps();
+        String background = svg.toString();
+        svg.setLength(0);
         line.entries().forEach(this::drawEvent);
         int height = TOP + LANE * Math.max(1, lanes.size()) + 10;
         return template()
@@ -79,6 +81,7 @@
                 .replace("{{height}}", Integer.toString(height))
                 .replace("{{summary}}", summary())
                 .replace("{{selected}}", escape(highlighted.map(RequestId::name).orElse("")))
+                .replace("{{lanes}}", background)
                 .replace("{{svg}}", svg)
                 .replace("{{gaps}}", gaps())
                 .replace("{{rows}}", rows());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -83,7 +84,8 @@
         FleetView beliefs = firstBeliefs(settings, clock);
         Recorder recorder = new Recorder(origin(beliefs.self()), clock);
         SharedState state = new SharedState(beliefs, recorder);
-        EngineClient engines = new EngineClient(new StampInterceptor(recorder));
+        InetAddress source = InetAddress.getByName(settings.callerAddress().host());
+        EngineClient engines = new EngineClient(source, new StampInterceptor(recorder));
         Binding binding = new Binding(state, settings.region());
         ModelCalls models = new ModelCalls(
                 settings, state, new RecordingPolicy(new LeastOutstanding(), recorder), engines, clock, log, metrics);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.daemon.backend;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
@@ -23,22 +24,28 @@
 
     private final OkHttpClient http;
 
-    /** Creates a client with a connection pool of its own. */
-    public EngineClient() {
-        this(chain -> chain.proceed(chain.request()));
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param source local address that its connections leave from
+     */
+    public EngineClient(InetAddress source) {
+        this(source, chain -> chain.proceed(chain.request()));
     }
 
     /**
      * Creates a client with a connection pool of its own.
      *
+     * @param source local address that its connections leave from
      * @param interceptor sees each call before it is sent
      */
-    public EngineClient(Interceptor interceptor) {
+    public EngineClient(InetAddress source, Interceptor interceptor) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         http = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
+                .socketFactory(new SourceSocketFactory(source))
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
                 .addInterceptor(interceptor)
                 .retryOnConnectionFailure(false)
