--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -2,26 +2,24 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.net.InetAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.ibissaddle.daemon.backend.EngineClient;
+import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.caller.CallerServer;
 import org.ibissaddle.daemon.control.AskRoute;
+import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.control.ControlServer;
 import org.ibissaddle.daemon.control.StatusRoute;
 import org.ibissaddle.daemon.log.EventLog;
-import org.ibissaddle.daemon.path.Binding;
 import org.ibissaddle.daemon.path.LeastOutstanding;
-import org.ibissaddle.daemon.path.ModelCalls;
-import org.ibissaddle.daemon.path.RequestPath;
 import org.ibissaddle.daemon.platform.PlatformPoller;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.daemon.timeline.RecordingPolicy;
-import org.ibissaddle.daemon.timeline.StampInterceptor;
 import org.ibissaddle.daemon.timeline.TimelineRoute;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
@@ -30,10 +28,6 @@
 import org.ibissaddle.note.NoteReader;
 import org.ibissaddle.note.NoteRejectedException;
 import org.ibissaddle.note.ReleaseNote;
-import org.ibissaddle.outcome.Fate;
-import org.ibissaddle.outcome.Refusal;
-import org.ibissaddle.outcome.RefusalType;
-import org.ibissaddle.outcome.RefusedException;
 import org.ibissaddle.port.Clock;
 import org.ibissaddle.timeline.Origin;
 
@@ -48,25 +42,34 @@
  * }</pre>
  */
 public final class Daemon implements AutoCloseable {
+    private static final long ANSWERS_VALID_MS = AskRoute.ANSWER_VALID_MS + 1_000;
+    private static final long DRAIN_POLL_MS = 50;
+
     private final SharedState state;
-    private final EngineClient engines;
+    private final RequestParts parts;
+    private final EngineClient platformClient;
     private final CallerServer callers;
     private final ControlServer control;
     private final PlatformPoller platform;
+    private final Clock clock;
     private final EventLog log;
 
     private Daemon(
             SharedState state,
-            EngineClient engines,
+            RequestParts parts,
+            EngineClient platformClient,
             CallerServer callers,
             ControlServer control,
             PlatformPoller platform,
+            Clock clock,
             EventLog log) {
         this.state = state;
-        this.engines = engines;
+        this.parts = parts;
+        this.platformClient = platformClient;
         this.callers = callers;
         this.control = control;
         this.platform = platform;
+        this.clock = clock;
         this.log = log;
     }
 
@@ -84,21 +87,19 @@
         FleetView beliefs = firstBeliefs(settings, clock);
         Recorder recorder = new Recorder(origin(beliefs.self()), clock);
         SharedState state = new SharedState(beliefs, recorder);
-        InetAddress source = InetAddress.getByName(settings.callerAddress().host());
-        EngineClient engines = new EngineClient(source, new StampInterceptor(recorder));
-        Binding binding = new Binding(state, settings.region());
-        ModelCalls models = new ModelCalls(
-                settings, state, new RecordingPolicy(new LeastOutstanding(), recorder), engines, clock, log, metrics);
-        RequestPath path = new RequestPath(state, binding, models, Daemon::noTicket, clock, log);
-        CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), path, clock);
-        ControlServer control = ControlServer.start(
-                settings,
-                state,
-                metrics,
-                List.of(new StatusRoute(settings, state), new AskRoute(state, clock), new TimelineRoute(recorder)));
-        PlatformPoller platform = new PlatformPoller(settings, state, text -> note(text, log), engines, clock, log);
+        RequestParts parts = RequestParts.create(
+                settings, state, new RecordingPolicy(new LeastOutstanding(), recorder), clock, log, metrics);
+        EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
+        CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
+        List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
+        routes.add(new StatusRoute(settings, state));
+        routes.add(new AskRoute(state, parts.desk(), clock));
+        routes.add(new TimelineRoute(recorder));
+        ControlServer control = ControlServer.start(settings, state, metrics, routes);
+        PlatformPoller platform =
+                new PlatformPoller(settings, state, text -> note(text, log), platformClient, clock, log);
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
-        return new Daemon(state, engines, callers, control, platform, log);
+        return new Daemon(state, parts, platformClient, callers, control, platform, clock, log);
     }
 
     private static Optional<ReleaseNote> note(String text, EventLog log) {
@@ -110,15 +111,6 @@
         }
     }
 
-    private static void noTicket(
-            org.ibissaddle.daemon.caller.CallerRequest request,
-            org.ibissaddle.note.Workspace workspace,
-            org.ibissaddle.daemon.caller.CallerReply reply)
-            throws RefusedException {
-        throw new RefusedException(
-                Refusal.of(RefusalType.TICKET_REQUIRED, "a call that may run once only needs a ticket", Fate.NOT_RUN));
-    }
-
     private static Origin origin(InstanceView self) {
         return new Origin(self.id(), self.incarnation().orElseThrow(), self.region(), self.zone());
     }
@@ -145,12 +137,29 @@
         log.info("draining");
     }
 
+    /**
+     * Leaves: drains, serves what still comes while given-out answers and tickets are valid, and waits until no request
+     * is open.
+     *
+     * @throws InterruptedException when the wait is interrupted
+     */
+    public void drainUntilIdle() throws InterruptedException {
+        drain();
+        long acceptUntilMs =
+                Math.max(clock.nowMs() + ANSWERS_VALID_MS, parts.desk().ownTicketsUntilMs());
+        while (clock.nowMs() < acceptUntilMs || parts.path().open() > 0) {
+            Thread.sleep(DRAIN_POLL_MS);
+        }
+        log.info("drained");
+    }
+
     @Override
     public void close() {
         platform.close();
         callers.close();
         control.close();
-        engines.close();
+        parts.close();
+        platformClient.close();
         log.info("stopped");
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
@@ -1,13 +1,12 @@
 package org.ibissaddle.daemon.backend;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import javax.net.SocketFactory;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
-import okhttp3.Interceptor;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -27,27 +26,16 @@
     /**
      * Creates a client with a connection pool of its own.
      *
-     * @param source local address that its connections leave from
+     * @param sockets creates its sockets
      */
-    public EngineClient(InetAddress source) {
-        this(source, chain -> chain.proceed(chain.request()));
-    }
-
-    /**
-     * Creates a client with a connection pool of its own.
-     *
-     * @param source local address that its connections leave from
-     * @param interceptor sees each call before it is sent
-     */
-    public EngineClient(InetAddress source, Interceptor interceptor) {
+    public EngineClient(SocketFactory sockets) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         http = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
-                .socketFactory(new SourceSocketFactory(source))
+                .socketFactory(sockets)
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
-                .addInterceptor(interceptor)
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .followSslRedirects(false)
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/SourceSocketFactory.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/SourceSocketFactory.java
@@ -4,16 +4,32 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.UnknownHostException;
 import javax.net.SocketFactory;
+import org.ibissaddle.id.Address;
 
 /** Creates sockets whose connections leave from one local address. */
-final class SourceSocketFactory extends SocketFactory {
+public final class SourceSocketFactory extends SocketFactory {
     private final InetAddress source;
 
-    SourceSocketFactory(InetAddress source) {
+    private SourceSocketFactory(InetAddress source) {
         this.source = source;
     }
 
+    /**
+     * Sockets that leave from the IP number of an address.
+     *
+     * @param address an address of the instance
+     * @return the factory
+     */
+    public static SourceSocketFactory from(Address address) {
+        try {
+            return new SourceSocketFactory(InetAddress.getByName(address.host()));
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("address " + address + " is no IP number: it should have been checked", e);
+        }
+    }
+
     @Override
     public Socket createSocket() throws IOException {
         Socket socket = new Socket();
