--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -13,6 +13,7 @@
         all.add(new ConfigCheckCommand());
         all.add(new NoteCheckCommand());
         all.add(new DemoCommand());
+        all.add(new TimelineCommand());
         all.addAll(StandinCommands.all());
         return all;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -17,6 +17,8 @@
 import org.ibissaddle.daemon.platform.PlatformPoller;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.timeline.Recorder;
+import org.ibissaddle.daemon.timeline.TimelineRoute;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
@@ -27,6 +29,7 @@
 import org.ibissaddle.placement.Placements;
 import org.ibissaddle.placement.Tuning;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.timeline.Origin;
 
 /**
  * One entry instance.
@@ -81,14 +84,17 @@
     public static Daemon start(Settings settings, Clock clock) throws IOException {
         EventLog log = new EventLog(settings.instance().name());
         MetricRegistry metrics = new MetricRegistry();
-        SharedState state = new SharedState(firstBeliefs(settings, clock));
-        RequestParts parts =
-                RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
+        FleetView beliefs = firstBeliefs(settings, clock);
+        Recorder recorder = new Recorder(origin(beliefs.self()), clock);
+        SharedState state = new SharedState(beliefs, recorder);
+        RequestParts parts = RequestParts.create(
+                settings, state, Placements.weighted(Tuning.defaults()), recorder, clock, log, metrics);
         EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
         routes.add(new StatusRoute(settings, state));
         routes.add(new AskRoute(state, parts.desk(), clock));
+        routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
         PlatformPoller platform =
                 new PlatformPoller(settings, state, text -> note(text, log), platformClient, clock, log);
@@ -105,6 +111,10 @@
         }
     }
 
+    private static Origin origin(InstanceView self) {
+        return new Origin(self.id(), self.incarnation().orElseThrow(), self.region(), self.zone());
+    }
+
     private static FleetView firstBeliefs(Settings settings, Clock clock) {
         Incarnation incarnation =
                 new Incarnation(clock.nowMs(), ThreadLocalRandom.current().nextLong());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceCall.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceCall.java
@@ -8,11 +8,13 @@
 import org.ibissaddle.daemon.backend.ServiceRequest;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.path.Headers;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.note.Workspace;
 import org.ibissaddle.placement.Work;
+import org.ibissaddle.timeline.Stamp;
 
 /**
  * A call of a plain service.
@@ -55,9 +57,10 @@
     }
 
     /** What another instance is sent. */
-    ServiceRequest toInstance(String hop) {
+    ServiceRequest toInstance(String hop, Stamp stamp) {
         Map<String, String> headers = passed();
         headers.put(Headers.HOP, hop);
+        headers.put(Recorder.HEADER, stamp.toString());
         headers.put(Headers.DEADLINE, Long.toString(deadlineMs));
         request.head().header(Headers.TICKET).ifPresent(ticket -> headers.put(Headers.TICKET, ticket));
         return built(headers);
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/World.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/World.java
@@ -75,7 +75,7 @@
             Region region = Deployment.REGIONS.get(GATEWAY_REGIONS[i]);
             List<ServerView> own =
                     servers.stream().filter(s -> s.region().equals(region)).toList();
-            gateways.add(new Gateway("g" + i, region, contender.made.get(), own, this));
+            gateways.add(new Gateway("g" + i, region, contender.make(), own, this));
         }
     }
 
