Bound and type every refusal of the caller port and the control port

Cause: a refusal closed the socket at once, so that a caller still sending lost it to a reset; a body in tiny chunks cost one component each; nothing bounded the bodies of all connections together; a stalled body waited for ever; the control port answered its own errors as text.

Change: the caller port keeps the connection after a refusal of a short request, else it closes for writing first; a body is collected in one array under a budget of a quarter of the heap, and refused when it is late; a body of another region is left unread. The control port answers every error as a typed refusal and buffers whole bodies, so that none reaches a temporary file. Answers carry X-Ran.

Tests: raw sockets against both ports, each fault followed by a call that must still be served.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerServer.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,8 @@
     private static final int BACKLOG = 1024;
     private static final long QUIET_MS = 0;
     private static final long STOP_MS = 2000;
+    private static final long IDLE_MS = 120_000;
+    private static final long HEAP_PARTS_PER_BODIES = 4;
 
     private final EventLoopGroup group;
     private final Channel listening;
@@ -52,6 +55,7 @@
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_START_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes());
+        BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_PARTS_PER_BODIES);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -66,7 +70,8 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(config))
-                                .addLast(new CallerHandler(service, limits.maxBodyBytes(), clock));
+                                .addLast(new IdleStateHandler(IDLE_MS, 0, 0, TimeUnit.MILLISECONDS))
+                                .addLast(new CallerHandler(service, limits, budget, clock));
                     }
                 });
         try {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
@@ -17,9 +17,13 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import org.ibissaddle.outcome.Fate;
 
 /** A reply over a Netty channel, with at most one write buffer's worth of pieces waiting. */
 final class NettyReply implements CallerReply {
+    private static final String RAN = "x-ran";
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final Channel channel;
     private final boolean keepAlive;
     private final Runnable whenEnded;
@@ -42,6 +46,7 @@
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
         headers.forEach((name, value) -> response.headers().set(name, value));
+        setRan(response);
         HttpUtil.setContentLength(response, body.length);
         setConnection(response);
         finish(channel.writeAndFlush(response));
@@ -53,6 +58,7 @@
         started = true;
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         headers.forEach((name, value) -> response.headers().set(name, value));
+        setRan(response);
         HttpUtil.setTransferEncodingChunked(response, true);
         setConnection(response);
         channel.writeAndFlush(response);
@@ -124,6 +130,13 @@
         });
     }
 
+    private static void setRan(HttpResponse response) {
+        boolean answered = response.status().code() < FIRST_ERROR_STATUS;
+        if (answered && !response.headers().contains(RAN)) {
+            response.headers().set(RAN, Fate.RAN.word());
+        }
+    }
+
     private void setConnection(HttpResponse response) {
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/ControlServer.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/ControlServer.java
@@ -10,6 +10,7 @@
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,9 @@
 /** The control port: readiness, status, metrics, and the routes that other parts add. */
 public final class ControlServer implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 16 * 1024;
+    /** Above the greatest body, so that no body is ever written to a temporary file. */
+    private static final int BUFFER_BYTES = 2 * MAX_BODY_BYTES;
+
     private static final int WORKERS = 8;
     private static final int IO_THREADS = 2;
 
@@ -41,6 +45,8 @@
     public static ControlServer start(
             Settings settings, SharedState state, MetricRegistry metrics, List<ControlRoutes> routes) {
         Jooby app = new Jooby();
+        app.setTmpdir(Path.of(System.getProperty("java.io.tmpdir")));
+        app.error(new ControlErrors());
         addHealth(app, state);
         addMetrics(app, metrics);
         routes.forEach(part -> part.addTo(app));
@@ -48,6 +54,7 @@
         ServerOptions options = new ServerOptions()
                 .setPort(address.port())
                 .setMaxRequestSize(MAX_BODY_BYTES)
+                .setBufferSize(BUFFER_BYTES)
                 .setIoThreads(IO_THREADS)
                 .setWorkerThreads(WORKERS);
         options.setHost(address.host());
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
@@ -0,0 +1,351 @@
+package org.ibissaddle.daemon.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.outcome.Fate;
+import org.ibissaddle.outcome.Refusal;
+import org.ibissaddle.outcome.RefusalType;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CallerServerTest {
+    private static final int MAX_BODY_BYTES = 256 * 1024;
+    private static final int MAX_HEADER_BYTES = 8 * 1024;
+    private static final long BODY_DEADLINE_MS = 700;
+    private static final int MAX_WAITING_PIECES = 64 * 1024;
+    private static final Address ELSEWHERE = new Address("127.0.0.1", 9);
+
+    private final EchoService service = new EchoService();
+    private CallerServer server;
+
+    /** Answers with the length of the body, or without end where the path asks for it. */
+    private static final class EchoService implements CallerService {
+        final AtomicInteger served = new AtomicInteger();
+        final AtomicInteger pieces = new AtomicInteger();
+        final AtomicBoolean gone = new AtomicBoolean();
+        final CountDownLatch cut = new CountDownLatch(1);
+
+        @Override
+        public Optional<Refusal> check(RequestHead head) {
+            return switch (head.path()) {
+                case "/elsewhere" ->
+                    Optional.of(Refusal.of(RefusalType.WRONG_REGION, "bound to region \"x\"", Fate.NOT_RUN)
+                            .use(List.of(ELSEWHERE)));
+                case "/unknown" ->
+                    Optional.of(Refusal.of(RefusalType.UNKNOWN_ROUTE, "no call \"/unknown\"", Fate.NOT_RUN));
+                case "/ticket-seen" ->
+                    Optional.of(Refusal.of(RefusalType.IN_PROGRESS, "the call may be running", Fate.UNKNOWN));
+                default -> Optional.empty();
+            };
+        }
+
+        @Override
+        public void serve(CallerRequest request, CallerReply reply) {
+            served.incrementAndGet();
+            try {
+                answer(request, reply);
+            } catch (IOException e) {
+                gone.set(true);
+                cut.countDown();
+            }
+        }
+
+        private void answer(CallerRequest request, CallerReply reply) throws IOException {
+            String text = request.head().path() + " " + request.body().length;
+            if (!request.head().path().equals("/endless")) {
+                reply.whole(200, Map.of(), text.getBytes(StandardCharsets.UTF_8));
+                return;
+            }
+            reply.start(200, Map.of());
+            while (true) {
+                reply.piece(new byte[1024]);
+                pieces.incrementAndGet();
+            }
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        Settings.Limits limits = new Settings.Limits(MAX_BODY_BYTES, MAX_HEADER_BYTES, BODY_DEADLINE_MS);
+        server = CallerServer.start(new Address("127.0.0.1", 0), limits, service, System::currentTimeMillis);
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+    }
+
+    private RawCaller caller() throws IOException {
+        return new RawCaller(server.address());
+    }
+
+    private static String post(String path, int length) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + length + "\r\n\r\n";
+    }
+
+    private static String chunkedPost(String path) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    private void assertStillServes() throws IOException {
+        try (RawCaller other = caller()) {
+            assertThat(other.send(post("/ok", 2) + "hi").answer().body()).isEqualTo("/ok 2");
+        }
+    }
+
+    private static void assertRefused(RawCaller.Answer answer, RefusalType type, Fate fate) {
+        assertThat(answer.status()).isEqualTo(type.status());
+        assertThat(answer.headers()).containsEntry("x-ran", fate.word());
+        assertThat(answer.body())
+                .contains("\"type\":\"" + type.word() + "\"")
+                .contains("\"ran\":\"" + fate.word() + "\"");
+    }
+
+    @Nested
+    class Bodies {
+        @Test
+        void shouldRefuseDeclaredBodyThatIsTooLarge() throws IOException {
+            try (RawCaller caller = caller()) {
+                assertRefused(
+                        caller.send(post("/ok", MAX_BODY_BYTES + 1)).answer(),
+                        RefusalType.BODY_TOO_LARGE,
+                        Fate.NOT_RUN);
+                assertThat(caller.ended()).isTrue();
+            }
+            assertStillServes();
+        }
+
+        @Test
+        void shouldRefuseStreamedBodyThatIsTooLarge() throws IOException {
+            String chunk = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
+            try (RawCaller caller = caller()) {
+                caller.send(chunkedPost("/ok"));
+                for (int sent = 0; sent <= MAX_BODY_BYTES; sent += 0x4000) {
+                    caller.send(chunk);
+                }
+                assertRefused(caller.answer(), RefusalType.BODY_TOO_LARGE, Fate.NOT_RUN);
+            }
+            assertThat(service.served).hasValue(0);
+            assertStillServes();
+        }
+
+        @Test
+        void shouldTakeLargestBody() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send(post("/ok", MAX_BODY_BYTES)).send(new byte[MAX_BODY_BYTES]);
+                assertThat(caller.answer().body()).isEqualTo("/ok " + MAX_BODY_BYTES);
+            }
+        }
+
+        @Test
+        void shouldTakeBodyInManyTinyChunks() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send(chunkedPost("/ok") + "1\r\nx\r\n".repeat(20_000) + "0\r\n\r\n");
+                assertThat(caller.answer().body()).isEqualTo("/ok 20000");
+            }
+        }
+
+        @Test
+        void shouldRefuseBodyThatStalls() throws IOException {
+            try (RawCaller caller = caller()) {
+                assertRefused(
+                        caller.send(post("/ok", 100) + "abc").answer(), RefusalType.DEADLINE_PASSED, Fate.NOT_RUN);
+            }
+            assertThat(service.served).hasValue(0);
+        }
+
+        @Test
+        void shouldWriteNoFileWhileLargeBodiesFlow() throws IOException {
+            List<Path> before = temporaryFiles();
+            try (RawCaller first = caller();
+                    RawCaller second = caller()) {
+                first.send(post("/ok", MAX_BODY_BYTES)).send(new byte[MAX_BODY_BYTES / 2]);
+                second.send(post("/ok", MAX_BODY_BYTES)).send(new byte[MAX_BODY_BYTES]);
+                second.answer();
+                assertThat(before).containsAll(temporaryFiles());
+                first.send(new byte[MAX_BODY_BYTES / 2]).answer();
+                assertThat(before).containsAll(temporaryFiles());
+            }
+        }
+
+        private static List<Path> temporaryFiles() throws IOException {
+            try (Stream<Path> files = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
+                return files.toList();
+            }
+        }
+    }
+
+    @Nested
+    class Heads {
+        @Test
+        void shouldRefuseHeaderFlood() throws IOException {
+            String flood = "X-Filler: " + "f".repeat(1000) + "\r\n";
+            try (RawCaller caller = caller()) {
+                caller.send("GET /ok HTTP/1.1\r\nHost: x\r\n" + flood.repeat(50) + "\r\n");
+                assertRefused(caller.answer(), RefusalType.HEADERS_TOO_LARGE, Fate.NOT_RUN);
+            }
+            assertStillServes();
+        }
+
+        @Test
+        void shouldRefuseStartLineThatIsTooLong() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send("GET /" + "p".repeat(20_000) + " HTTP/1.1\r\nHost: x\r\n\r\n");
+                assertRefused(caller.answer(), RefusalType.HEADERS_TOO_LARGE, Fate.NOT_RUN);
+            }
+            assertStillServes();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "\u0001\u0002 nonsense\r\n\r\n",
+                    "POST /ok HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                    "POST /ok HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+                    "POST /ok HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nnot-a-size\r\nabc\r\n"
+                })
+        void shouldRefuseMalformedRequest(String text) throws IOException {
+            try (RawCaller caller = caller()) {
+                assertRefused(caller.send(text).answer(), RefusalType.MALFORMED_REQUEST, Fate.NOT_RUN);
+                assertThat(caller.ended()).isTrue();
+            }
+            assertThat(service.served).hasValue(0);
+            assertStillServes();
+        }
+
+        @Test
+        void shouldInviteBodyOfAcceptedHead() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send("POST /ok HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+                assertThat(caller.answer().status()).isEqualTo(100);
+                assertThat(caller.send("hi").answer().body()).isEqualTo("/ok 2");
+            }
+        }
+    }
+
+    @Nested
+    class WrongRegion {
+        @Test
+        void shouldRefuseWithoutInvitingBody() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send("POST /elsewhere HTTP/1.1\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n");
+                RawCaller.Answer answer = caller.answer();
+                assertRefused(answer, RefusalType.WRONG_REGION, Fate.NOT_RUN);
+                assertThat(answer.body()).contains(ELSEWHERE.toString());
+                assertThat(caller.ended()).isTrue();
+            }
+        }
+
+        @Test
+        void shouldRefuseStalledBody() throws IOException {
+            try (RawCaller caller = caller()) {
+                assertRefused(
+                        caller.send(post("/elsewhere", MAX_BODY_BYTES)).answer(),
+                        RefusalType.WRONG_REGION,
+                        Fate.NOT_RUN);
+            }
+        }
+
+        @Test
+        void shouldDeliverRefusalWhileCallerStillSends() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send(post("/elsewhere", MAX_BODY_BYTES)).send(new byte[MAX_BODY_BYTES / 2]);
+                assertRefused(caller.answer(), RefusalType.WRONG_REGION, Fate.NOT_RUN);
+            }
+        }
+    }
+
+    @Nested
+    class Connections {
+        @Test
+        void shouldAnswerPipelinedRequestsInOrder() throws IOException {
+            try (RawCaller caller = caller()) {
+                StringBuilder all = new StringBuilder();
+                for (int i = 0; i < 200; i++) {
+                    all.append(post("/n" + i, 3)).append("abc");
+                }
+                caller.send(all.toString());
+                for (int i = 0; i < 200; i++) {
+                    assertThat(caller.answer().body()).isEqualTo("/n" + i + " 3");
+                }
+            }
+        }
+
+        @Test
+        void shouldKeepConnectionAfterRefusalOfShortRequest() throws IOException {
+            try (RawCaller caller = caller()) {
+                caller.send(post("/unknown", 5) + "hello" + post("/ok", 2) + "hi");
+                assertRefused(caller.answer(), RefusalType.UNKNOWN_ROUTE, Fate.NOT_RUN);
+                assertThat(caller.answer().body()).isEqualTo("/ok 2");
+            }
+        }
+
+        @Test
+        void shouldTellFateThatCheckDecides() throws IOException {
+            try (RawCaller caller = caller()) {
+                assertRefused(caller.send(post("/ticket-seen", 0)).answer(), RefusalType.IN_PROGRESS, Fate.UNKNOWN);
+            }
+        }
+
+        @Test
+        void shouldTellThatAnsweredRequestRan() throws IOException {
+            try (RawCaller caller = caller()) {
+                assertThat(caller.send(post("/ok", 0)).answer().headers()).containsEntry("x-ran", "ran");
+            }
+        }
+
+        @Test
+        void shouldBoundMemoryOfCallerThatDoesNotRead() throws Exception {
+            try (RawCaller slow = caller()) {
+                slow.send(post("/endless", 0));
+                int before = -1;
+                while (before != service.pieces.get() || before < 100) {
+                    before = service.pieces.get();
+                    assertThat(before).isLessThan(MAX_WAITING_PIECES);
+                    Thread.sleep(300);
+                }
+                assertStillServes();
+            }
+            service.cut.await();
+            assertThat(service.gone).isTrue();
+        }
+    }
+
+    @Nested
+    class Budget {
+        @Test
+        void shouldGiveBackWhatWasTaken() {
+            BodyBudget budget = new BodyBudget(10_000);
+            BodyCollector body = new BodyCollector(budget, java.util.OptionalLong.of(9_000), MAX_BODY_BYTES);
+            byte[] part = new byte[4_500];
+            Arrays.fill(part, (byte) 'x');
+
+            assertThat(body.add(io.netty.buffer.Unpooled.wrappedBuffer(part))).isTrue();
+            assertThat(body.add(io.netty.buffer.Unpooled.wrappedBuffer(part))).isTrue();
+            assertThat(body.whole()).hasSize(9_000).containsOnly('x');
+            BodyCollector other = new BodyCollector(budget, java.util.OptionalLong.of(9_000), MAX_BODY_BYTES);
+            assertThat(other.add(io.netty.buffer.Unpooled.wrappedBuffer(part))).isFalse();
+            body.release();
+            other.release();
+            assertThat(budget.heldBytes()).isZero();
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/RawCaller.java
@@ -0,0 +1,95 @@
+package org.ibissaddle.daemon.caller;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ibissaddle.id.Address;
+
+/** A caller that writes bytes of its own choice and reads the answers one by one. */
+public final class RawCaller implements AutoCloseable {
+    private static final int READ_TIMEOUT_MS = 10_000;
+
+    private final Socket socket;
+    private final InputStream in;
+
+    public RawCaller(Address address) throws IOException {
+        socket = new Socket(InetAddress.getByName(address.host()), address.port());
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    public record Answer(int status, Map<String, String> headers, String body) {}
+
+    public RawCaller send(String text) throws IOException {
+        return send(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    public RawCaller send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+        return this;
+    }
+
+    public Answer answer() throws IOException {
+        int status = Integer.parseInt(line().split(" ", -1)[1]);
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = line(); !line.isEmpty(); line = line()) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        return new Answer(status, headers, body(status, headers));
+    }
+
+    private String body(int status, Map<String, String> headers) throws IOException {
+        if ("chunked".equals(headers.get("transfer-encoding"))) {
+            return chunks();
+        }
+        int length = status == 100 ? 0 : Integer.parseInt(headers.get("content-length"));
+        return new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    private String chunks() throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (int size = chunkSize(); size > 0; size = chunkSize()) {
+            body.write(in.readNBytes(size));
+            line();
+        }
+        line();
+        return body.toString(StandardCharsets.UTF_8);
+    }
+
+    private int chunkSize() throws IOException {
+        return Integer.parseInt(line(), 16);
+    }
+
+    private String line() throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                throw new IOException("the connection ended after \"" + line.toString(StandardCharsets.UTF_8) + '"');
+            }
+            if (next != '\r') {
+                line.write(next);
+            }
+        }
+        return line.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Whether the other side has closed the connection. */
+    public boolean ended() throws IOException {
+        return in.read() < 0;
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
@@ -0,0 +1,136 @@
+package org.ibissaddle.daemon.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.stream.Stream;
+import org.ibissaddle.daemon.caller.RawCaller;
+import org.ibissaddle.daemon.settings.DeploymentKey;
+import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.Health;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ControlServerTest {
+    private static final int MAX_BODY_BYTES = 16 * 1024;
+
+    private ControlServer server;
+    private Address address;
+
+    @BeforeEach
+    void start() throws IOException {
+        address = freeAddress();
+        InstanceId id = new InstanceId("ub-1-a");
+        Region region = new Region("Ulaanbaatar");
+        Zone zone = new Zone("ub-1");
+        Settings settings = new Settings(
+                id,
+                region,
+                zone,
+                freeAddress(),
+                address,
+                List.of(),
+                List.of(),
+                new DeploymentKey("0123456789abcdef".getBytes(StandardCharsets.UTF_8)),
+                new Settings.Limits(1024, 1024, 1000),
+                Level.INFO);
+        InstanceView self =
+                new InstanceView(id, java.util.Optional.empty(), region, zone, address, address, Health.LIVE, 0, 0);
+        SharedState state = new SharedState(new FleetView(self, List.of(), List.of(), 0));
+        server = ControlServer.start(
+                settings, state, new MetricRegistry(), List.of(new AskRoute(state, System::currentTimeMillis)));
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    private RawCaller.Answer ask(byte[] body) throws IOException {
+        try (RawCaller caller = new RawCaller(address)) {
+            caller.send("POST /v1/ask HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length + "\r\n\r\n");
+            return caller.send(body).answer();
+        }
+    }
+
+    @Nested
+    class Bodies {
+        @Test
+        void shouldRefuseBodyAboveBound() throws IOException {
+            RawCaller.Answer answer = ask(new byte[MAX_BODY_BYTES + 1]);
+
+            assertThat(answer.status()).isEqualTo(413);
+            assertThat(answer.headers()).containsEntry("x-ran", "not-run");
+            assertThat(answer.body()).contains("\"type\":\"body-too-large\"");
+        }
+
+        @Test
+        void shouldWriteNothingToDisk() throws IOException {
+            List<Path> before = temporaryFiles();
+            try (RawCaller caller = new RawCaller(address)) {
+                caller.send("POST /v1/ask HTTP/1.1\r\nHost: x\r\nContent-Length: " + MAX_BODY_BYTES + "\r\n\r\n");
+                caller.send(new byte[MAX_BODY_BYTES - 1]);
+                assertThat(ask("{}".getBytes(StandardCharsets.UTF_8)).status()).isEqualTo(503);
+                assertThat(before).containsAll(temporaryFiles());
+                caller.send(new byte[1]).answer();
+                assertThat(before).containsAll(temporaryFiles());
+            }
+        }
+
+        private static List<Path> temporaryFiles() throws IOException {
+            try (Stream<Path> files = Files.list(Path.of(System.getProperty("java.io.tmpdir")))) {
+                return files.toList();
+            }
+        }
+    }
+
+    @Nested
+    class Questions {
+        @Test
+        void shouldRefuseMalformedJson() throws IOException {
+            RawCaller.Answer answer = ask("{\"workspace\":".getBytes(StandardCharsets.UTF_8));
+
+            assertThat(answer.status()).isEqualTo(400);
+            assertThat(answer.body()).contains("malformed-request");
+        }
+
+        @Test
+        void shouldRefuseBadUtf8() throws IOException {
+            assertThat(ask(new byte[] {'{', '"', (byte) 0xC3, '"', '}'}).status())
+                    .isEqualTo(400);
+        }
+
+        @Test
+        void shouldRefuseUnknownCall() throws IOException {
+            try (RawCaller caller = new RawCaller(address)) {
+                RawCaller.Answer answer =
+                        caller.send("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n").answer();
+
+                assertThat(answer.status()).isEqualTo(404);
+                assertThat(answer.body()).contains("unknown-route");
+            }
+        }
+    }
+}
