Report faults between settings and warn of the example's key

Cause: nothing tested the settings reader; one address for both ports, the own address as a seed and a missing platform were accepted and failed later.

Change: these are faults like any other; config check warns of the deployment key that the examples show.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ConfigCheckCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ConfigCheckCommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
+import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.settings.SettingsException;
 import org.ibissaddle.daemon.settings.SettingsReader;
 
@@ -36,11 +37,17 @@
         }
         String file = line.getArgList().get(0);
         try {
-            SettingsReader.read(Path.of(file));
+            Settings settings = SettingsReader.read(Path.of(file));
+            SettingsReader.warnings(file, settings).forEach(warning -> out.println("warning: " + warning));
             out.println(file + ": ok");
             return 0;
         } catch (SettingsException e) {
-            throw new CommandFailedException(e.faults().size() + " faults:\n" + e.getMessage(), e);
+            throw new CommandFailedException(count(e) + ":\n" + e.getMessage(), e);
         }
     }
+
+    static String count(SettingsException e) {
+        int faults = e.faults().size();
+        return faults == 1 ? "1 fault" : faults + " faults";
+    }
 }
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
@@ -65,7 +65,7 @@
         try {
             return SettingsReader.read(file);
         } catch (SettingsException e) {
-            throw new CommandFailedException(e.faults().size() + " faults:\n" + e.getMessage(), e);
+            throw new CommandFailedException(ConfigCheckCommand.count(e) + ":\n" + e.getMessage(), e);
         }
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/DeploymentKey.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/DeploymentKey.java
@@ -1,7 +1,9 @@
 package org.ibissaddle.daemon.settings;
 
+import java.nio.charset.StandardCharsets;
 import java.security.InvalidKeyException;
 import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
@@ -11,6 +13,7 @@
     public static final int MIN_BYTES = 16;
 
     private static final String ALGORITHM = "HmacSHA256";
+    private static final String EXAMPLE = "replace-this-with-a-secret";
 
     private final byte[] secret;
 
@@ -27,6 +30,15 @@
         this.secret = secret.clone();
     }
 
+    /**
+     * Tells whether this is the secret that the example settings show.
+     *
+     * @return whether anybody can know it
+     */
+    public boolean isExample() {
+        return Arrays.equals(secret, EXAMPLE.getBytes(StandardCharsets.UTF_8));
+    }
+
     /**
      * Returns a copy of the secret, for signers of the decision library.
      *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/SettingsReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/SettingsReader.java
@@ -99,6 +99,8 @@
         Optional<Address> control = required("instance", "control-address", Address::parse, "IP number:port");
         List<Address> platform = addresses("platform", "addresses");
         List<Address> seeds = addresses("peers", "seeds");
+        checkPlatform(platform);
+        checkAddresses(caller, control, seeds);
         Optional<DeploymentKey> key = required("security", "deployment-key", this::key, "at least 16 bytes");
         int body = number("max-body-bytes", MIN_BODY_BYTES, MAX_BODY_BYTES, DEFAULT_BODY_BYTES);
         int header = number("max-header-bytes", MIN_HEADER_BYTES, MAX_HEADER_BYTES, DEFAULT_HEADER_BYTES);
@@ -120,6 +122,40 @@
                 level);
     }
 
+    /**
+     * Finds what is allowed but unwise.
+     *
+     * @param file name for messages
+     * @param settings settings that were read
+     * @return warnings, empty when there are none
+     */
+    public static List<SettingsFault> warnings(String file, Settings settings) {
+        if (!settings.deploymentKey().isExample()) {
+            return List.of();
+        }
+        return List.of(new SettingsFault(
+                file,
+                "security",
+                "deployment-key",
+                "is the key of the examples, which anybody knows",
+                "a secret of your own of at least " + DeploymentKey.MIN_BYTES + " bytes"));
+    }
+
+    private void checkPlatform(List<Address> platform) {
+        if (platform.isEmpty() && text("platform", "addresses").isEmpty()) {
+            fault("platform", "addresses", "is missing", "IP number:port, separated by commas");
+        }
+    }
+
+    private void checkAddresses(Optional<Address> caller, Optional<Address> control, List<Address> seeds) {
+        if (caller.isPresent() && caller.equals(control) && caller.get().port() != 0) {
+            fault("instance", "control-address", control.get() + " is the caller address too", "another port");
+        }
+        if (control.isPresent() && seeds.contains(control.get())) {
+            fault("peers", "seeds", "holds the own control address " + control.get(), "other instances only");
+        }
+    }
+
     private void checkNames() {
         for (String section : ini.getSections()) {
             if (section == null) {
