Keep the log to the end of a process and format library lines as pairs

Cause: the standard log manager takes its handlers away in a shutdown hook of its own, so lines of a drain could be lost; lines of libraries had no logger name and no cause, and could break over lines.

Change: a log manager that keeps its handlers, selected before the first logger; the formatter stands in the daemon with its tests. A refusal of the caller port itself to a call with a ticket says unknown; what check refuses keeps its fate.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Main.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Main.java
@@ -33,6 +33,7 @@
      * @param args command, options and arguments
      */
     public static void main(String[] args) {
+        Logging.selectManager();
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
         PrintStream err = new PrintStream(System.err, true, StandardCharsets.UTF_8);
         System.exit(new Main(Commands.all(), out, err).run(args));
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
@@ -28,6 +28,7 @@
 final class CallerHandler extends ChannelInboundHandlerAdapter {
     private static final int MAX_PIPELINED_PARTS = 64;
     private static final long MAX_SKIPPED_BYTES = 64 * 1024;
+    private static final String TICKET = "X-Ticket";
     private static final long BUDGET_RETRY_MS = 1_000;
 
     private final CallerService service;
@@ -114,7 +115,7 @@
         boolean empty = !chunked && asked.contentLength().orElse(0) == 0;
         boolean mayRead = empty || refusal.type() != RefusalType.WRONG_REGION;
         if (!small || !mayRead || HttpUtil.is100ContinueExpected(head) || !HttpUtil.isKeepAlive(head)) {
-            close(ctx, refusal);
+            writeAndClose(ctx, refusal);
             return;
         }
         state = State.SKIPPED_BODY;
@@ -183,7 +184,11 @@
     }
 
     /** Refuses and closes; what still comes is thrown away, or left unread when it belongs to another region. */
-    private void close(ChannelHandlerContext ctx, Refusal refusal) {
+    private void close(ChannelHandlerContext ctx, Refusal why) {
+        writeAndClose(ctx, unproven(why));
+    }
+
+    private void writeAndClose(ChannelHandlerContext ctx, Refusal refusal) {
         state = State.CLOSING;
         releaseBody();
         if (refusal.type() == RefusalType.WRONG_REGION) {
@@ -192,6 +197,14 @@
         RefusalWriter.writeAndClose(ctx, refusal, clock.nowMs());
     }
 
+    /** A call with a ticket may have run before, at its owner: this port has no proof that it did not. */
+    private Refusal unproven(Refusal why) {
+        if (!head.headers().contains(TICKET)) {
+            return why;
+        }
+        return new Refusal(why.type(), why.message(), Fate.UNKNOWN, why.retryAtMs(), why.instances());
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
         if (event instanceof IdleStateEvent && state == State.HEAD) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/log/EventLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/log/EventLog.java
@@ -59,20 +59,8 @@
         StringBuilder line = new StringBuilder("event=").append(event);
         line.append(" instance=").append(instance);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
-            line.append(' ').append(pairs[i]).append('=').append(quoted(String.valueOf(pairs[i + 1])));
+            line.append(' ').append(pairs[i]).append('=').append(Values.quoted(String.valueOf(pairs[i + 1])));
         }
         return line.toString();
     }
-
-    private static String quoted(String value) {
-        boolean plain = !value.isEmpty() && value.chars().noneMatch(c -> c <= ' ' || c == '"' || c == '=');
-        if (plain) {
-            return value;
-        }
-        String escaped = value.replace("\\", "\\\\")
-                .replace("\"", "\\\"")
-                .replace("\n", "\\n")
-                .replace("\r", "\\r");
-        return '"' + escaped + '"';
-    }
 }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
@@ -147,6 +147,14 @@
             assertStillServes();
         }
 
+        @Test
+        void shouldNotProveFateOfRefusedCallWithTicket() throws IOException {
+            String head = "POST /ok HTTP/1.1\r\nX-Ticket: t\r\nContent-Length: " + (MAX_BODY_BYTES + 1);
+            try (RawCaller caller = caller()) {
+                assertRefused(caller.send(head + "\r\n\r\n").answer(), RefusalType.BODY_TOO_LARGE, Fate.UNKNOWN);
+            }
+        }
+
         @Test
         void shouldTakeLargestBody() throws IOException {
             try (RawCaller caller = caller()) {
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/log/LineFormatterTest.java
@@ -0,0 +1,102 @@
+package org.ibissaddle.daemon.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+class LineFormatterTest {
+    private final List<String> lines = new ArrayList<>();
+    private final Logger root = Logger.getLogger("");
+    private final Handler handler = new Handler() {
+        @Override
+        public void publish(LogRecord entry) {
+            entry.setInstant(Instant.EPOCH);
+            lines.add(new LineFormatter().format(entry));
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    };
+
+    @BeforeEach
+    void listen() {
+        root.addHandler(handler);
+    }
+
+    @AfterEach
+    void stopListening() {
+        root.removeHandler(handler);
+    }
+
+    @Nested
+    class Lines {
+        @Test
+        void shouldWriteOwnEventAsPairs() {
+            new EventLog("ub-1-a").info("started", "note", 7, "reason", "two words", "empty", "");
+
+            assertThat(lines)
+                    .containsExactly("at=1970-01-01T00:00:00Z level=info event=started instance=ub-1-a note=7 "
+                            + "reason=\"two words\" empty=\"\"\n");
+        }
+
+        @Test
+        void shouldKeepOneLineForEachEvent() {
+            new EventLog("ub-1-a").warning("note-refused", "cause", "first\nsecond \"quoted\"");
+
+            assertThat(lines).singleElement().asString().endsWith("cause=\"first\\nsecond \\\"quoted\\\"\"\n");
+        }
+
+        @Test
+        void shouldWriteLinesOfLibrariesAsPairs() {
+            LoggerFactory.getLogger("some.library").warn("lost\nline {}", 3, new IllegalStateException("why"));
+
+            assertThat(lines)
+                    .containsExactly("at=1970-01-01T00:00:00Z level=warning event=library logger=some.library "
+                            + "message=\"lost\\nline 3\" cause=\"java.lang.IllegalStateException: why\"\n");
+        }
+    }
+
+    @Nested
+    class Levels {
+        @Test
+        void shouldLeaveOutEventsBelowLevel() {
+            Level before = root.getLevel();
+            root.setLevel(Level.WARNING);
+            try {
+                new EventLog("ub-1-a").info("started");
+            } finally {
+                root.setLevel(before);
+            }
+
+            assertThat(lines).isEmpty();
+        }
+    }
+
+    @Nested
+    class Manager {
+        @Test
+        void shouldKeepHandlersAtEndOfProcess() {
+            KeepingLogManager manager = new KeepingLogManager();
+            Logger logger = Logger.getAnonymousLogger();
+            logger.addHandler(handler);
+            manager.addLogger(logger);
+            manager.reset();
+
+            assertThat(logger.getHandlers()).containsExactly(handler);
+        }
+    }
+}
