--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -12,6 +12,9 @@
         all.add(new ServeCommand());
         all.add(new ConfigCheckCommand());
         all.add(new NoteCheckCommand());
+        all.add(new NoteShowCommand());
+        all.add(new NoteDiffCommand());
+        all.add(new StatusCommand());
         all.add(new DemoCommand());
         all.addAll(StandinCommands.all());
         return all;
--- /dev/null
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/package-info.java
@@ -0,0 +1,2 @@
+/** Collects the status of instances and prints it as a table for operators. */
+package org.ibissaddle.cli.status;
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/log/LineFormatterTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/log/LineFormatterTest.java
@@ -91,7 +91,7 @@
         @Test
         void shouldKeepHandlersAtEndOfProcess() {
             KeepingLogManager manager = new KeepingLogManager();
-            Logger logger = Logger.getAnonymousLogger();
+            Logger logger = Logger.getLogger("kept-to-the-end");
             logger.addHandler(handler);
             manager.addLogger(logger);
             manager.reset();
