--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/StatusCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/StatusCommand.java
@@ -50,7 +50,7 @@
             if (line.hasOption("json")) {
                 out.println(json(all).toPrettyString());
             } else {
-                out.print(new StatusText(all, System.console() != null && System.console().isTerminal()).render());
+                out.print(new StatusText(all, Terminal.isPresent()).render());
             }
             return all.stream().allMatch(one -> one.answer().isPresent()) ? 0 : 1;
         } catch (InterruptedException e) {
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/StatusCollector.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/StatusCollector.java
@@ -86,8 +86,7 @@
             }
             return InstanceStatus.of(control, JSON.readTree(response.body()));
         } catch (IOException e) {
-            String why = Optional.ofNullable(e.getMessage())
-                    .orElse(e.getClass().getSimpleName());
+            String why = Optional.ofNullable(e.getMessage()).orElse(e.getClass().getSimpleName());
             return InstanceStatus.failed(control, "no answer: " + why);
         }
     }
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/StatusText.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/StatusText.java
@@ -68,8 +68,8 @@
             warnings.add("instances hold different release notes: " + String.join(", ", notes));
         }
         for (JsonNode answer : answers()) {
-            cutOff(answer).ifPresent(peers ->
-                    warnings.add(answer.path("instance").asText() + " is cut off from " + peers));
+            cutOff(answer)
+                    .ifPresent(peers -> warnings.add(answer.path("instance").asText() + " is cut off from " + peers));
         }
         return warnings;
     }
@@ -123,7 +123,8 @@
         if (!answer.has("now_ms")) {
             return "-";
         }
-        long age = answer.path("now_ms").asLong() - answer.path("refreshed_at_ms").asLong();
+        long age =
+                answer.path("now_ms").asLong() - answer.path("refreshed_at_ms").asLong();
         return String.format(Locale.ROOT, "%.1f s ago", Math.max(0, age) / MS_PER_SECOND);
     }
 
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/TextTable.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/TextTable.java
@@ -54,7 +54,9 @@
         for (List<Cell> row : rows) {
             StringBuilder line = new StringBuilder();
             for (int i = 0; i < row.size(); i++) {
-                String padding = i == row.size() - 1 ? "" : " ".repeat(width(i) - row.get(i).text().length()) + GAP;
+                String padding = i == row.size() - 1
+                        ? ""
+                        : " ".repeat(width(i) - row.get(i).text().length()) + GAP;
                 line.append(coloured(row.get(i), colours)).append(padding);
             }
             text.append(line.toString().stripTrailing()).append('\n');
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
@@ -1,9 +1,9 @@
 package org.ibissaddle.daemon.backend;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import javax.net.SocketFactory;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
@@ -26,15 +26,15 @@
     /**
      * Creates a client with a connection pool of its own.
      *
-     * @param source local address that its connections leave from
+     * @param sockets creates its sockets
      */
-    public EngineClient(InetAddress source) {
+    public EngineClient(SocketFactory sockets) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         http = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
-                .socketFactory(new SourceSocketFactory(source))
+                .socketFactory(sockets)
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
@@ -185,7 +185,9 @@
 
     /** Refuses and closes; what still comes is thrown away, or left unread when it belongs to another region. */
     private void close(ChannelHandlerContext ctx, Refusal why) {
-        writeAndClose(ctx, unproven(why));
+        Refusal refusal = unproven(why);
+        service.refused(refusal);
+        writeAndClose(ctx, refusal);
     }
 
     private void writeAndClose(ChannelHandlerContext ctx, Refusal refusal) {
@@ -202,7 +204,7 @@
         if (!head.headers().contains(TICKET)) {
             return why;
         }
-        return new Refusal(why.type(), why.message(), Fate.UNKNOWN, why.retryAtMs(), why.instances());
+        return why.withFate(Fate.UNKNOWN);
     }
 
     @Override
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
@@ -12,16 +12,21 @@
 import java.util.logging.Level;
 import java.util.stream.Stream;
 import org.ibissaddle.daemon.caller.RawCaller;
+import org.ibissaddle.daemon.once.TicketDesk;
 import org.ibissaddle.daemon.settings.DeploymentKey;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.dispatch.OnceLedger;
+import org.ibissaddle.dispatch.OnceLimits;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.id.Address;
+import org.ibissaddle.id.Incarnation;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.ticket.Tickets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -53,8 +58,14 @@
         InstanceView self =
                 new InstanceView(id, java.util.Optional.empty(), region, zone, address, address, Health.LIVE, 0, 0);
         SharedState state = new SharedState(new FleetView(self, List.of(), List.of(), 0));
+        DeploymentKey secret = settings.deploymentKey();
+        TicketDesk desk = new TicketDesk(
+                state,
+                new OnceLedger(id, new Incarnation(1, 1), OnceLimits.DEFAULT),
+                Tickets.signedWith(org.ibissaddle.ticket.DeploymentKey.of(secret.bytes())),
+                System::currentTimeMillis);
         server = ControlServer.start(
-                settings, state, new MetricRegistry(), List.of(new AskRoute(state, System::currentTimeMillis)));
+                settings, state, new MetricRegistry(), List.of(new AskRoute(state, desk, System::currentTimeMillis)));
     }
 
     @AfterEach
