--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/StatusCollector.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/status/StatusCollector.java
@@ -94,15 +94,19 @@
     private static List<Address> peers(JsonNode answer) {
         List<Address> peers = new ArrayList<>();
         for (JsonNode peer : answer.path("peers")) {
-            try {
-                peers.add(Address.parse(peer.path("control_address").asText()));
-            } catch (InvalidNameException e) {
-                continue;
-            }
+            address(peer.path("control_address").asText()).ifPresent(peers::add);
         }
         return peers;
     }
 
+    private static Optional<Address> address(String text) {
+        try {
+            return Optional.of(Address.parse(text));
+        } catch (InvalidNameException e) {
+            return Optional.empty();
+        }
+    }
+
     @Override
     public void close() {
         threads.close();
