--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -92,7 +92,7 @@
         EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
-        routes.add(new StatusRoute(settings, state));
+        routes.add(new StatusRoute(settings, state, parts.refusals(), parts.path()::open, clock));
         routes.add(new AskRoute(state, parts.desk(), clock));
         routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -10,6 +10,7 @@
 import org.ibissaddle.daemon.admission.GatedPolicy;
 import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.backend.StreamClient;
+import org.ibissaddle.daemon.caller.RefusalCounts;
 import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.once.PlainServices;
@@ -42,6 +43,7 @@
     private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final RequestPath path;
+    private final RefusalCounts refusals;
     private final TicketDesk desk;
     private final List<ControlRoutes> peerRoutes;
     private final StreamClient engines;
@@ -50,12 +52,14 @@
 
     private RequestParts(
             RequestPath path,
+            RefusalCounts refusals,
             TicketDesk desk,
             List<ControlRoutes> peerRoutes,
             StreamClient engines,
             PlainServices services,
             ScheduledExecutorService expiry) {
         this.path = path;
+        this.refusals = refusals;
         this.desk = desk;
         this.peerRoutes = peerRoutes;
         this.engines = engines;
@@ -95,12 +99,14 @@
                 log,
                 metrics.timer("model.first-token"));
         PlainServices services = new PlainServices(settings, state, policy, budgets, ledger, tickets, clock, log);
+        RefusalCounts refusals = new RefusalCounts(metrics);
         RequestPath path = new RequestPath(
                 state,
                 new Binding(state, settings.region()),
                 new ModelCalls(settings, state, gate, new ModelAnswers(context)),
                 services,
                 new StreamResumes(context),
+                refusals,
                 clock,
                 log);
         metrics.register("once.keys", (Gauge<Long>) ledger::size);
@@ -115,13 +121,17 @@
                 gate::advanceAll, ADVANCE_INTERVAL_MS, ADVANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
         var unusedTidy = expiry.scheduleWithFixedDelay(gate::tidy, 0, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         TicketDesk desk = new TicketDesk(state, ledger, tickets, clock);
-        return new RequestParts(path, desk, List.of(crashes, claims), engines, services, expiry);
+        return new RequestParts(path, refusals, desk, List.of(crashes, claims), engines, services, expiry);
     }
 
     RequestPath path() {
         return path;
     }
 
+    RefusalCounts refusals() {
+        return refusals;
+    }
+
     TicketDesk desk() {
         return desk;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -8,6 +8,7 @@
 import org.ibissaddle.daemon.caller.CallerReply;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.caller.CallerService;
+import org.ibissaddle.daemon.caller.RefusalCounts;
 import org.ibissaddle.daemon.caller.RefusalJson;
 import org.ibissaddle.daemon.caller.RequestHead;
 import org.ibissaddle.daemon.log.EventLog;
@@ -31,6 +32,7 @@
     private final ServiceCalls serviceCalls;
     private final StreamResumes resumes;
     private final AtomicInteger open = new AtomicInteger();
+    private final RefusalCounts refusals;
     private final Clock clock;
     private final EventLog log;
 
@@ -42,6 +44,7 @@
      * @param modelCalls how model calls are served
      * @param serviceCalls how calls of plain services are served
      * @param resumes how streams are read on
+     * @param refusals counts refusals
      * @param clock source of time
      * @param log log of the instance
      */
@@ -51,6 +54,7 @@
             ModelCalls modelCalls,
             ServiceCalls serviceCalls,
             StreamResumes resumes,
+            RefusalCounts refusals,
             Clock clock,
             EventLog log) {
         this.state = state;
@@ -58,6 +62,7 @@
         this.modelCalls = modelCalls;
         this.serviceCalls = serviceCalls;
         this.resumes = resumes;
+        this.refusals = refusals;
         this.clock = clock;
         this.log = log;
     }
@@ -79,6 +84,11 @@
         }
     }
 
+    @Override
+    public void refused(Refusal refusal) {
+        logRefusal(refusal);
+    }
+
     @Override
     public void serve(CallerRequest request, CallerReply reply) {
         open.incrementAndGet();
@@ -151,6 +161,7 @@
     }
 
     private void logRefusal(Refusal refusal) {
+        refusals.count(refusal);
         log.info("refused", "type", refusal.type().word(), "ran", refusal.fate().word());
     }
 }
