--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/TestFleet.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/TestFleet.java
@@ -45,6 +45,7 @@
     private final Map<String, EngineStandin> engines = new LinkedHashMap<>();
     private final Map<String, ServiceStandin> services = new LinkedHashMap<>();
     private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, InstanceEntry> servers = new LinkedHashMap<>();
     private final Path folder;
     private InetSocketAddress platformLink;
 
@@ -109,7 +110,7 @@
     private void addServer(DeploymentSpec.Place place, String pool, HttpStandin server) throws IOException {
         server.start();
         String address = text(proxy.open(place.name(), server.address()));
-        platform.putInstance(new InstanceEntry(
+        InstanceEntry entry = new InstanceEntry(
                 place.name(),
                 InstanceEntry.SERVER,
                 Optional.of(pool),
@@ -117,7 +118,16 @@
                 place.zone(),
                 address,
                 Optional.empty(),
-                InstanceEntry.LIVE));
+                InstanceEntry.LIVE);
+        servers.put(place.name(), entry);
+        platform.putInstance(entry);
+    }
+
+    /** Changes the state of a backend server in the list of live ones. */
+    public void listServer(String name, String state) {
+        InstanceEntry last = servers.get(name);
+        platform.putInstance(new InstanceEntry(
+                name, last.kind(), last.pool(), last.region(), last.zone(), last.address(), last.control(), state));
     }
 
     private void openInstances() throws IOException {
--- /dev/null
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/ScenarioTest.java
@@ -0,0 +1,11 @@
+package org.ibissaddle.proof.scenario;
+
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectClasspathResource;
+import org.junit.platform.suite.api.Suite;
+
+/** Runs all scenarios. */
+@Suite
+@IncludeEngines("cucumber")
+@SelectClasspathResource("features")
+public class ScenarioTest {}
--- /dev/null
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/World.java
@@ -0,0 +1,140 @@
+package org.ibissaddle.proof.scenario;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.ibissaddle.cli.deployment.DeploymentSpec;
+import org.ibissaddle.proof.harness.Http;
+import org.ibissaddle.proof.harness.TestFleet;
+import org.ibissaddle.proof.harness.Wait;
+import org.ibissaddle.standins.EngineStandin;
+
+/** One running deployment and the calls that its callers have made. */
+final class World implements AutoCloseable {
+    private static final Executor VIRTUAL = task -> Thread.ofVirtual().start(task);
+    private static final long RESTART_PAUSE_MS = 100;
+
+    final TestFleet fleet;
+    final DeploymentSpec spec;
+    final String note;
+    final Http http = new Http();
+    final List<Call> calls = new ArrayList<>();
+    private final String model;
+    private final AtomicInteger number = new AtomicInteger();
+    private final AtomicBoolean closed = new AtomicBoolean();
+
+    World(DeploymentSpec spec) throws IOException, InterruptedException {
+        this.spec = spec;
+        this.note = TestFleet.exampleNote(spec.name());
+        this.model = spec.model().substring(0, spec.model().indexOf('@'));
+        this.fleet = TestFleet.start(spec, note);
+    }
+
+    /** Sends a dossier and waits for what comes back. */
+    Call chat(String workspace, String instance, String dossier, int tokens) throws InterruptedException {
+        String prompt = dossier + " " + number.incrementAndGet();
+        return chatExactly(workspace, instance, prompt, tokens);
+    }
+
+    /** Sends exactly this prompt. */
+    Call chatExactly(String workspace, String instance, String prompt, int tokens) throws InterruptedException {
+        try {
+            HttpResponse<String> answer = http.chat(fleet.caller(instance), workspace, model, prompt, tokens, true);
+            return new Call(model, prompt, tokens, Optional.of(answer));
+        } catch (IOException e) {
+            return new Call(model, prompt, tokens, Optional.empty());
+        }
+    }
+
+    /** Sends dossiers at the same time. */
+    List<Call> chatTogether(int callers, String workspace, String instance, int tokens) {
+        List<CompletableFuture<Call>> open = new ArrayList<>();
+        for (int i = 0; i < callers; i++) {
+            open.add(chatLater(workspace, instance, tokens));
+        }
+        return open.stream().map(CompletableFuture::join).toList();
+    }
+
+    CompletableFuture<Call> chatLater(String workspace, String instance, int tokens) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return chat(workspace, instance, "a long dossier", tokens);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                        throw new IllegalStateException("interrupted while a call was open", e);
+                    }
+                },
+                VIRTUAL);
+    }
+
+    long requestsAtEngines() {
+        return fleet.engines().values().stream()
+                .mapToLong(engine -> engine.stats().requests())
+                .sum();
+    }
+
+    long crashes() {
+        return fleet.engines().values().stream()
+                .mapToLong(engine -> engine.stats().crashes())
+                .sum();
+    }
+
+    int arrivals(String key) {
+        return fleet.services().values().stream()
+                .mapToInt(service -> service.arrivals().getOrDefault(key, 0))
+                .sum();
+    }
+
+    int arrivals() {
+        return fleet.services().values().stream()
+                .flatMap(service -> service.arrivals().values().stream())
+                .mapToInt(Integer::intValue)
+                .sum();
+    }
+
+    long noteAt(String instance) throws IOException, InterruptedException {
+        String status = http.get(fleet.control(instance), "/status").body();
+        return Http.json(status).at("/note/number").asLong();
+    }
+
+    void awaitNote(String instance, long number) throws InterruptedException {
+        Wait.until(instance + " has note " + number + " in force", () -> noteAt(instance) == number);
+    }
+
+    /** Starts crashed engines again until the scenario is over, as the platform does. */
+    void restartCrashedEngines() {
+        Thread.ofVirtual().start(() -> {
+            while (!closed.get()) {
+                fleet.engines().values().forEach(World::restartIfCrashed);
+                try {
+                    Thread.sleep(RESTART_PAUSE_MS);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        });
+    }
+
+    private static void restartIfCrashed(EngineStandin engine) {
+        try {
+            if (engine.crashed()) {
+                engine.restart();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("engine " + engine.name() + " did not start again", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed.set(true);
+        fleet.close();
+    }
+}
--- /dev/null
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Steps of the scenarios under {@code resources/features}. */
+package org.ibissaddle.proof.scenario;
--- /dev/null
+++ b/ibissaddle-proof/src/test/resources/features/loops.feature
@@ -0,0 +1,14 @@
+Feature: No request loops between regions or backend servers
+
+  Scenario Outline: No region can serve, and each might think that another one can
+    Given the three regions of <deployment>
+    When no engine takes new work
+    And 12 callers of workspace "<workspace>" send dossiers to instance "<one>"
+    And 12 callers of workspace "<workspace>" send dossiers to instance "<other>"
+    Then every caller has its whole answer or sees that it has not
+    And no request was sent on more than once
+
+    Examples:
+      | deployment  | workspace | one    | other  |
+      | cooperative | members   | ub-1-a | da-1-a |
+      | stratka     | families  | ke-1-a | za-1-a |
--- /dev/null
+++ b/ibissaddle-proof/src/test/resources/features/whole-answers.feature
@@ -0,0 +1,24 @@
+Feature: Every caller gets the whole answer to its own request
+
+  Scenario Outline: Answers arrive cut, repeated, crossed and with pieces missing
+    Given the three regions of <deployment>
+    When the engines cut, repeat, cross and leave out pieces of their answers
+    And 12 callers of workspace "<workspace>" send dossiers to instance "<instance>"
+    Then every caller has its whole answer or sees that it has not
+
+    Examples:
+      | deployment  | workspace | instance |
+      | cooperative | members   | ub-1-a   |
+      | stratka     | families  | ke-1-a   |
+
+  Scenario Outline: A cut answer is read on
+    Given the three regions of <deployment>
+    When engine "<one>" cuts its next answer after 5 pieces
+    And engine "<other>" cuts its next answer after 5 pieces
+    And 6 callers of workspace "<workspace>" send dossiers to instance "<instance>"
+    Then every caller has its whole answer
+
+    Examples:
+      | deployment  | workspace | instance | one           | other         |
+      | cooperative | members   | da-1-a   | engine-da-1-a | engine-da-1-b |
+      | stratka     | families  | ba-1-a   | engine-ba-1-a | engine-ba-1-b |
