--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -14,12 +14,10 @@
 import org.ibissaddle.daemon.control.ControlServer;
 import org.ibissaddle.daemon.control.StatusRoute;
 import org.ibissaddle.daemon.log.EventLog;
-import org.ibissaddle.daemon.path.LeastOutstanding;
 import org.ibissaddle.daemon.platform.PlatformPoller;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.timeline.Recorder;
-import org.ibissaddle.daemon.timeline.RecordingPolicy;
 import org.ibissaddle.daemon.timeline.TimelineRoute;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
@@ -28,6 +26,8 @@
 import org.ibissaddle.note.NoteReader;
 import org.ibissaddle.note.NoteRejectedException;
 import org.ibissaddle.note.ReleaseNote;
+import org.ibissaddle.placement.Placements;
+import org.ibissaddle.placement.Tuning;
 import org.ibissaddle.port.Clock;
 import org.ibissaddle.timeline.Origin;
 
@@ -87,8 +87,8 @@
         FleetView beliefs = firstBeliefs(settings, clock);
         Recorder recorder = new Recorder(origin(beliefs.self()), clock);
         SharedState state = new SharedState(beliefs, recorder);
-        RequestParts parts = RequestParts.create(
-                settings, state, new RecordingPolicy(new LeastOutstanding(), recorder), clock, log, metrics);
+        RequestParts parts =
+                RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
         EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
