--- a/ibissaddle-proof/src/main/java/org/ibissaddle/proof/package-info.java
+++ b/ibissaddle-proof/src/main/java/org/ibissaddle/proof/package-info.java
@@ -1,2 +1,2 @@
-/** Failure tests with real processes, scenarios and benchmarks; all of it is test code. */
+/** Failure tests with real processes, scenarios and benchmarks; all of them are in the test tree. */
 package org.ibissaddle.proof;
