--- /dev/null
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -0,0 +1,19 @@
+package org.ibissaddle.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** All commands of the binary. */
+final class Commands {
+    private Commands() {}
+
+    static List<Command> all() {
+        List<Command> all = new ArrayList<>();
+        all.add(new ServeCommand());
+        all.add(new ConfigCheckCommand());
+        all.add(new NoteCheckCommand());
+        all.add(new DemoCommand());
+        all.addAll(StandinCommands.all());
+        return all;
+    }
+}
