Run the control loop in the daemon and give orders to engines

Cause: the thin daemon polled the platform by itself and knew neither peers nor loads. Status shows the note's source, freshness and trouble.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Beliefs.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Beliefs.java
@@ -39,8 +39,6 @@
 
 /** The beliefs of one instance. */
 public final class Beliefs implements Membership {
-    private static final long POLL_MS = 2_000;
-    private static final long TELL_LOAD_MS = 4_000;
     private static final long TELL_RESIDENT_MS = 60_000;
     private static final long SUMMARY_MS = 4_000;
     private static final long ANNOUNCE_MS = 10_000;
@@ -235,7 +233,7 @@
 
     private void hear(Server server, LoadNews one, long nowMs) {
         long atMs = nowMs - Math.max(0, one.ageMs());
-        if (atMs <= server.load.reportedAtMs() + TELL_LOAD_MS / 4) {
+        if (atMs <= server.load.reportedAtMs() + servers.pollMs() / 2) {
             return;
         }
         server.answered(atMs);
@@ -301,12 +299,13 @@
             List<InstanceId> candidates = workers.computeIfAbsent(server.entry.zone(), members::workers);
             int rank = Rendezvous.rank(server.id.name(), self.id(), candidates);
             boolean second = rank <= 2 && server.doubtedByOthers(self.id());
-            boolean mine = candidates.contains(self.id()) && (rank == 0 || second);
+            boolean first = servers.fine() && !server.heard();
+            boolean mine = candidates.contains(self.id()) && (rank == 0 || second || first);
             if (mine || (server.doubted(self.id(), nowMs) && !server.leaves())) {
                 server.polling = true;
                 due.add(new ServerPoll(server.id, server.entry.address()));
             }
-            server.pollAtMs = nowMs + (mine ? POLL_MS : POLL_MS / 4);
+            server.pollAtMs = nowMs + (mine ? servers.pollMs() : servers.pollMs() / 4);
         }
         return due;
     }
@@ -327,9 +326,9 @@
         boolean left = report.leaving() && !server.leaving;
         server.leaving |= report.leaving();
         server.answered(nowMs);
-        boolean tell = nowMs - server.load.reportedAtMs() >= TELL_LOAD_MS || entered;
-        if (tell) {
-            server.load = report.load();
+        server.load = report.load();
+        if (entered || nowMs - server.loadToldAtMs >= 2 * servers.pollMs()) {
+            server.loadToldAtMs = nowMs;
             news.load(server.id, servers.fine(), nowMs);
         }
         boolean moved = !server.models.equals(report.models()) || !server.adapters.equals(report.adapters());
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Loop.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Loop.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.ServerView;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.membership.Action;
 import org.ibissaddle.membership.ControlLoop;
@@ -26,6 +27,8 @@
 import org.ibissaddle.note.NoteRejectedException;
 import org.ibissaddle.note.NoteSource;
 import org.ibissaddle.note.Offered;
+import org.ibissaddle.note.Pool;
+import org.ibissaddle.note.ReleaseNote;
 
 /** The control loop of one instance. */
 public final class Loop implements ControlLoop {
@@ -160,7 +163,10 @@
         List<Peer> far = new ArrayList<>();
         seeds.forEach(address -> near.add(new Peer(Optional.empty(), address)));
         for (ListEntry entry : membership.newestList().entries()) {
-            if (entry.kind() == ListEntry.Kind.INSTANCE && entry.control().isPresent()) {
+            boolean other = !entry.name().equals(self.id().name());
+            if (other
+                    && entry.kind() == ListEntry.Kind.INSTANCE
+                    && entry.control().isPresent()) {
                 Peer peer = new Peer(
                         Optional.of(new org.ibissaddle.id.InstanceId(entry.name())),
                         entry.control().get());
@@ -382,6 +388,31 @@
 
     @Override
     public FleetView view(long nowMs) {
-        return membership.view(refreshedAtMs, nowMs);
+        FleetView view = membership.view(refreshedAtMs, nowMs);
+        if (ledger.inForce().isEmpty()) {
+            return view;
+        }
+        ReleaseNote note = ledger.inForce().get();
+        List<ServerView> servers =
+                view.servers().stream().map(server -> assumed(server, note)).toList();
+        return new FleetView(view.self(), view.peers(), servers, view.refreshedAtMs());
+    }
+
+    /** Believes of a server that was never heard that it holds what the note declares. */
+    private static ServerView assumed(ServerView server, ReleaseNote note) {
+        Pool pool = note.pools().get(server.pool());
+        if (pool == null || server.load().reportedAtMs() > 0 || !server.models().isEmpty()) {
+            return server;
+        }
+        return new ServerView(
+                server.id(),
+                server.incarnation(),
+                server.pool(),
+                server.region(),
+                server.zone(),
+                server.address(),
+                server.health(),
+                pool.models(),
+                server.load());
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/PlatformReads.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/PlatformReads.java
@@ -80,8 +80,12 @@
     }
 
     void read(String name, long revision, long nowMs) {
-        document(name).succeeded(nowMs);
-        document(name).revision = revision;
+        Document document = document(name);
+        document.succeeded(nowMs);
+        if (revision == document.revision) {
+            document.nextMs = nowMs + WATCH_MS;
+        }
+        document.revision = revision;
         zoneRead(nowMs);
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Server.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Server.java
@@ -30,6 +30,7 @@
     long droppedAtMs;
     long answeredAtMs = Long.MIN_VALUE / 2;
     long toldAtMs = Long.MIN_VALUE / 2;
+    long loadToldAtMs = Long.MIN_VALUE / 2;
     long pollAtMs;
     boolean polling;
     private final Map<InstanceId, Long> doubts = new HashMap<>();
@@ -85,6 +86,11 @@
         return doubts.size() > (doubts.containsKey(self) ? 1 : 0);
     }
 
+    /** Tells whether it ever said anything, to whomever. */
+    boolean heard() {
+        return answeredAtMs > 0;
+    }
+
     boolean leaves() {
         return leaving || entry.leaving() || dropped;
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/ServerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/ServerTable.java
@@ -24,6 +24,9 @@
     private static final long LOAD_FRESH_MS = 12_000;
     private static final long SAME_MS = 1_000;
     private static final int FINE_SERVERS = 64;
+    private static final int FEW_SERVERS = 16;
+    private static final long POLL_MS = 2_000;
+    private static final long FEW_POLL_MS = 500;
 
     private final Self self;
     private final Map<ServerId, Server> servers = new TreeMap<>();
@@ -49,6 +52,11 @@
         return servers.size() <= FINE_SERVERS;
     }
 
+    /** How often each server is asked for its load, milliseconds. Half as often its load is told to others. */
+    long pollMs() {
+        return servers.size() <= FEW_SERVERS ? FEW_POLL_MS : POLL_MS;
+    }
+
     void list(List<ListEntry> entries, long nowMs) {
         Set<ServerId> seen = new HashSet<>();
         for (ListEntry entry : entries) {
--- /dev/null
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/order/package-info.java
@@ -0,0 +1,2 @@
+/** Planning of orders; used through {@code org.ibissaddle.order}. */
+package org.ibissaddle.internal.order;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -6,24 +6,19 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import org.ibissaddle.daemon.backend.EngineClient;
-import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.caller.CallerServer;
 import org.ibissaddle.daemon.control.AskRoute;
 import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.control.ControlServer;
 import org.ibissaddle.daemon.control.StatusRoute;
 import org.ibissaddle.daemon.log.EventLog;
-import org.ibissaddle.daemon.platform.PlatformPoller;
+import org.ibissaddle.daemon.peer.ControlPlane;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.id.Incarnation;
-import org.ibissaddle.note.NoteReader;
-import org.ibissaddle.note.NoteRejectedException;
-import org.ibissaddle.note.ReleaseNote;
 import org.ibissaddle.placement.Placements;
 import org.ibissaddle.placement.Tuning;
 import org.ibissaddle.port.Clock;
@@ -44,28 +39,25 @@
 
     private final SharedState state;
     private final RequestParts parts;
-    private final EngineClient platformClient;
     private final CallerServer callers;
     private final ControlServer control;
-    private final PlatformPoller platform;
+    private final ControlPlane plane;
     private final Clock clock;
     private final EventLog log;
 
     private Daemon(
             SharedState state,
             RequestParts parts,
-            EngineClient platformClient,
             CallerServer callers,
             ControlServer control,
-            PlatformPoller platform,
+            ControlPlane plane,
             Clock clock,
             EventLog log) {
         this.state = state;
         this.parts = parts;
-        this.platformClient = platformClient;
         this.callers = callers;
         this.control = control;
-        this.platform = platform;
+        this.plane = plane;
         this.clock = clock;
         this.log = log;
     }
@@ -84,25 +76,16 @@
         SharedState state = new SharedState(firstBeliefs(settings, clock));
         RequestParts parts =
                 RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
-        EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
-        routes.add(new StatusRoute(settings, state));
+        ControlPlane plane = ControlPlane.create(settings, state, clock, log);
+        routes.add(plane.routes());
+        routes.add(new StatusRoute(settings, state, plane::noteStatus));
         routes.add(new AskRoute(state, parts.desk(), clock));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
-        PlatformPoller platform =
-                new PlatformPoller(settings, state, text -> note(text, log), platformClient, clock, log);
+        plane.start();
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
-        return new Daemon(state, parts, platformClient, callers, control, platform, clock, log);
-    }
-
-    private static Optional<ReleaseNote> note(String text, EventLog log) {
-        try {
-            return Optional.of(NoteReader.read(text));
-        } catch (NoteRejectedException e) {
-            log.warning("note-refused", "cause", e.getMessage());
-            return Optional.empty();
-        }
+        return new Daemon(state, parts, callers, control, plane, clock, log);
     }
 
     private static FleetView firstBeliefs(Settings settings, Clock clock) {
@@ -124,6 +107,7 @@
     /** Starts to leave: gives no new answers that name this instance, finishes what it has. */
     public void drain() {
         state.drain();
+        plane.leave();
         log.info("draining");
     }
 
@@ -145,11 +129,10 @@
 
     @Override
     public void close() {
-        platform.close();
+        plane.close();
         callers.close();
         control.close();
         parts.close();
-        platformClient.close();
         log.info("stopped");
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -18,6 +18,7 @@
 import org.ibissaddle.daemon.path.ModelCalls;
 import org.ibissaddle.daemon.path.RequestPath;
 import org.ibissaddle.daemon.path.RetryBudgets;
+import org.ibissaddle.daemon.peer.FreshPolicy;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.stream.CrashWatch;
@@ -74,7 +75,7 @@
         OnceLedger ledger = new OnceLedger(
                 settings.instance(), state.fleet().self().incarnation().orElseThrow(), OnceLimits.DEFAULT);
         AdmissionGate gate = new AdmissionGate(state, weighted, clock);
-        PlacementPolicy policy = new GatedPolicy(weighted, gate);
+        PlacementPolicy policy = new FreshPolicy(new GatedPolicy(weighted, gate), state, clock);
         RetryBudgets budgets = new RetryBudgets();
         StreamClient engines = new StreamClient(SourceSocketFactory.from(settings.callerAddress()));
         CrashWatch crashes = new CrashWatch(state, key, engines, clock, log);
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/order/package-info.java
@@ -0,0 +1,2 @@
+/** Gives orders to engines. */
+package org.ibissaddle.daemon.order;
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/HttpCalls.java
@@ -0,0 +1,103 @@
+package org.ibissaddle.daemon.peer;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import javax.net.SocketFactory;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.ibissaddle.id.Address;
+
+/** Small calls of the control plane, each with a deadline. */
+public final class HttpCalls implements AutoCloseable {
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final int MAX_IDLE_CONNECTIONS = 64;
+    private static final long IDLE_MS = 15_000;
+
+    private final OkHttpClient http;
+
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param sockets creates its sockets
+     */
+    public HttpCalls(SocketFactory sockets) {
+        Dispatcher dispatcher = new Dispatcher();
+        http = new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .socketFactory(sockets)
+                .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
+                .followRedirects(false)
+                .readTimeout(0, TimeUnit.MILLISECONDS)
+                .build();
+    }
+
+    /**
+     * An answer.
+     *
+     * @param status status code
+     * @param header a header field of interest
+     * @param body the body
+     */
+    public record Answer(int status, Optional<String> header, String body) {}
+
+    /**
+     * Sends a GET.
+     *
+     * @param address where to
+     * @param path path and query
+     * @param header name of the header field to return
+     * @param timeoutMs how long to wait for the whole answer, milliseconds
+     * @return the answer
+     * @throws IOException when there is none in time
+     */
+    public Answer get(Address address, String path, String header, long timeoutMs) throws IOException {
+        Request request = new Request.Builder().url("http://" + address + path).build();
+        return execute(request, header, timeoutMs);
+    }
+
+    /**
+     * Sends a POST of a JSON body.
+     *
+     * @param address where to
+     * @param path path
+     * @param headers header fields
+     * @param body JSON in UTF-8
+     * @param header name of the header field to return
+     * @param timeoutMs how long to wait for the whole answer, milliseconds
+     * @return the answer
+     * @throws IOException when there is none in time
+     */
+    public Answer post(
+            Address address, String path, Map<String, String> headers, byte[] body, String header, long timeoutMs)
+            throws IOException {
+        Request.Builder request =
+                new Request.Builder().url("http://" + address + path).post(RequestBody.create(body, JSON));
+        headers.forEach(request::header);
+        return execute(request.build(), header, timeoutMs);
+    }
+
+    private Answer execute(Request request, String header, long timeoutMs) throws IOException {
+        var call = http.newCall(request);
+        call.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS);
+        try (Response response = call.execute()) {
+            return new Answer(
+                    response.code(),
+                    Optional.ofNullable(response.header(header)),
+                    response.body().string());
+        }
+    }
+
+    @Override
+    public void close() {
+        http.dispatcher().cancelAll();
+        http.dispatcher().executorService().shutdown();
+        http.connectionPool().evictAll();
+    }
+}
