--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -15,6 +15,8 @@
 import org.ibissaddle.daemon.peer.ControlPlane;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.timeline.Recorder;
+import org.ibissaddle.daemon.timeline.TimelineRoute;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
@@ -22,6 +24,7 @@
 import org.ibissaddle.placement.Placements;
 import org.ibissaddle.placement.Tuning;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.timeline.Origin;
 
 /**
  * One entry instance.
@@ -73,21 +76,28 @@
     public static Daemon start(Settings settings, Clock clock) throws IOException {
         EventLog log = new EventLog(settings.instance().name());
         MetricRegistry metrics = new MetricRegistry();
-        SharedState state = new SharedState(firstBeliefs(settings, clock));
-        RequestParts parts =
-                RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
+        FleetView beliefs = firstBeliefs(settings, clock);
+        Recorder recorder = new Recorder(origin(beliefs.self()), clock);
+        SharedState state = new SharedState(beliefs, recorder);
+        RequestParts parts = RequestParts.create(
+                settings, state, Placements.weighted(Tuning.defaults()), recorder, clock, log, metrics);
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
         ControlPlane plane = ControlPlane.create(settings, state, clock, log);
         routes.add(plane.routes());
         routes.add(new StatusRoute(settings, state, plane::noteStatus));
         routes.add(new AskRoute(state, parts.desk(), clock));
+        routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
         plane.start();
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
         return new Daemon(state, parts, callers, control, plane, clock, log);
     }
 
+    private static Origin origin(InstanceView self) {
+        return new Origin(self.id(), self.incarnation().orElseThrow(), self.region(), self.zone());
+    }
+
     private static FleetView firstBeliefs(Settings settings, Clock clock) {
         Incarnation incarnation =
                 new Incarnation(clock.nowMs(), ThreadLocalRandom.current().nextLong());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/OwnerForward.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/OwnerForward.java
@@ -76,7 +76,8 @@
     }
 
     private Request request(InstanceView owner, ServiceCall call) {
-        ServiceRequest inner = call.toInstance(Hops.of(settings));
+        ServiceRequest inner =
+                call.toInstance(Hops.of(settings), state.recorder().send());
         boolean bodiless = inner.method().equals("GET") || inner.method().equals("HEAD");
         String type = inner.headers().getOrDefault("Content-Type", "application/octet-stream");
         Request.Builder built = new Request.Builder()
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
@@ -42,6 +42,7 @@
  */
 public final class ControlPlane implements AutoCloseable {
     private static final long POLL_TIMEOUT_MS = 1_000;
+    private static final long MIN_VIEW_MS = ControlLoop.TICK_MS / 2;
 
     private final SharedState state;
     private final Clock clock;
@@ -54,6 +55,7 @@
     private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
     private volatile NoteStatus noteStatus;
     private boolean wasReady;
+    private long viewedAtMs;
 
     private ControlPlane(Settings settings, SharedState state, Clock clock, EventLog log) {
         this.state = state;
@@ -162,8 +164,11 @@
                     .filter(note -> first || state.note().filter(note::equals).isEmpty())
                     .ifPresent(state::putInForce);
         }
-        noteStatus = loop.notes().status(nowMs);
-        state.believe(loop.view(nowMs));
+        if (Math.abs(nowMs - viewedAtMs) >= MIN_VIEW_MS) {
+            viewedAtMs = nowMs;
+            noteStatus = loop.notes().status(nowMs);
+            state.believe(loop.view(nowMs));
+        }
     }
 
     private void perform(Action action) {
