--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -19,6 +19,7 @@
 import org.ibissaddle.daemon.path.ModelCalls;
 import org.ibissaddle.daemon.path.RequestPath;
 import org.ibissaddle.daemon.path.RetryBudgets;
+import org.ibissaddle.daemon.peer.FreshPolicy;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.stream.CrashWatch;
@@ -79,7 +80,8 @@
         OnceLedger ledger = new OnceLedger(
                 settings.instance(), state.fleet().self().incarnation().orElseThrow(), OnceLimits.DEFAULT);
         AdmissionGate gate = new AdmissionGate(state, weighted, clock);
-        PlacementPolicy policy = new RecordingPolicy(new GatedPolicy(weighted, gate), state.recorder());
+        PlacementPolicy recorded = new RecordingPolicy(new GatedPolicy(weighted, gate), state.recorder());
+        PlacementPolicy policy = new FreshPolicy(recorded, state, clock);
         RetryBudgets budgets = new RetryBudgets();
         StreamClient engines = new StreamClient(SourceSocketFactory.from(settings.callerAddress()));
         CrashWatch crashes = new CrashWatch(state, key, engines, clock, log);
