--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -37,7 +37,8 @@
  * }</pre>
  */
 public final class Daemon implements AutoCloseable {
-    private static final long ANSWERS_VALID_MS = AskRoute.ANSWER_VALID_MS + 1_000;
+    private static final long PEERS_LEARN_MS = 5_000;
+    private static final long ANSWERS_VALID_MS = AskRoute.ANSWER_VALID_MS + PEERS_LEARN_MS;
     private static final long DRAIN_POLL_MS = 50;
 
     private final SharedState state;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.daemon.backend;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,7 @@
 
     private final OkHttpClient whole;
     private final OkHttpClient streaming;
+    private final OkHttpClient fresh;
 
     /** Creates a client with a connection pool of its own. */
     public StreamClient() {
@@ -57,6 +59,10 @@
         streaming = whole.newBuilder()
                 .readTimeout(SILENCE_MS, TimeUnit.MILLISECONDS)
                 .build();
+        fresh = streaming
+                .newBuilder()
+                .connectionPool(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
+                .build();
     }
 
     /** What came of opening an answer. */
@@ -89,7 +95,7 @@
         /** The receiver does not know the stream. */
         record Unknown() implements Resumed {}
 
-        /** The connection was refused. */
+        /** The connection was refused, or closed without a response. */
         record Refused() implements Resumed {}
 
         /** There was no response in time, or it was cut. */
@@ -219,7 +225,7 @@
      * @return the rest of the answer or why there is none
      */
     public Resumed resume(Request request, Consumer<Call> started) {
-        Call call = streaming.newCall(tagged(request));
+        Call call = fresh.newCall(tagged(request));
         started.accept(call);
         try {
             Response response = call.execute();
@@ -228,10 +234,10 @@
             }
             response.close();
             return response.code() == 404 ? new Resumed.Unknown() : new Resumed.Silent();
-        } catch (ConnectException e) {
-            return new Resumed.Refused();
-        } catch (IOException e) {
+        } catch (InterruptedIOException e) {
             return new Resumed.Silent();
+        } catch (IOException e) {
+            return call.isCanceled() ? new Resumed.Silent() : new Resumed.Refused();
         }
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
@@ -116,8 +116,10 @@
     private void serve(ChannelHandlerContext ctx) {
         byte[] bytes = ByteBufUtil.getBytes(body);
         releaseBody();
-        CallerRequest request = new CallerRequest(requestHead(head), bytes, arrivedAtMs);
-        NettyReply reply = new NettyReply(ctx.channel(), HttpUtil.isKeepAlive(head), () -> next(ctx));
+        HttpRequest asked = head;
+        CallerRequest request = new CallerRequest(requestHead(asked), bytes, arrivedAtMs);
+        NettyReply reply =
+                new NettyReply(ctx.channel(), () -> HttpUtil.isKeepAlive(asked) && !service.leaving(), () -> next(ctx));
         current = reply;
         Thread.ofVirtual().name("request").start(() -> service.serve(request, reply));
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
@@ -20,4 +20,11 @@
      * @param reply the way back
      */
     void serve(CallerRequest request, CallerReply reply);
+
+    /**
+     * Tells whether connections are closed after their current request.
+     *
+     * @return whether the instance is leaving
+     */
+    boolean leaving();
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
@@ -17,21 +17,23 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 
 /** A reply over a Netty channel, with at most one write buffer's worth of pieces waiting. */
 final class NettyReply implements CallerReply {
     private final Channel channel;
-    private final boolean keepAlive;
+    private final BooleanSupplier mayKeep;
     private final Runnable whenEnded;
     private final AtomicReference<Runnable> goneAction = new AtomicReference<>();
     private final AtomicReference<Thread> waiter = new AtomicReference<>();
+    private volatile boolean keepAlive;
     private volatile boolean started;
     private volatile boolean ended;
     private volatile boolean gone;
 
-    NettyReply(Channel channel, boolean keepAlive, Runnable whenEnded) {
+    NettyReply(Channel channel, BooleanSupplier mayKeep, Runnable whenEnded) {
         this.channel = channel;
-        this.keepAlive = keepAlive;
+        this.mayKeep = mayKeep;
         this.whenEnded = whenEnded;
     }
 
@@ -125,6 +127,7 @@
     }
 
     private void setConnection(HttpResponse response) {
+        keepAlive = mayKeep.getAsBoolean();
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -92,6 +92,11 @@
         }
     }
 
+    @Override
+    public boolean leaving() {
+        return state.draining();
+    }
+
     /**
      * Counts the requests that have not been answered.
      *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/CrashWatch.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/CrashWatch.java
@@ -19,6 +19,7 @@
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.id.Incarnation;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.port.Clock;
@@ -40,7 +41,6 @@
     private static final int MAX_MARKS = 10_000;
     private static final int MAX_CRASHES = 3;
     private static final long TELL_MS = 500;
-    private static final long SAME_CRASH_MS = 5_000;
     private static final ObjectMapper JSON = new ObjectMapper().registerModule(new Jdk8Module());
 
     private final SharedState state;
@@ -50,7 +50,7 @@
     private final EventLog log;
     private final Quarantine quarantine = new Quarantine(KEEP_MS, MAX_MARKS, MAX_CRASHES);
     private final Map<ServerId, Set<InFlight>> inFlight = new ConcurrentHashMap<>();
-    private final Map<ServerId, Seen> lastCrash = new ConcurrentHashMap<>();
+    private final Set<ServerId> down = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates a watch that knows of no crash.
@@ -87,8 +87,6 @@
         }
     }
 
-    private record Seen(Crash crash, long atMs) {}
-
     /** Notes that a request is given to an engine, until the handle is closed. */
     InFlight enter(ServerId server, byte[] body, Optional<Region> home) {
         InFlight one = new InFlight(server, body, home);
@@ -103,31 +101,33 @@
                 : quarantine.standing(Fingerprint.of(key, body), clock.nowMs());
     }
 
-    /** Marks what was in flight at an engine that has crashed. */
+    /** Notes that an engine has taken a request: the next crash is a new one. */
+    void alive(ServerId server) {
+        if (!down.isEmpty()) {
+            down.remove(server);
+        }
+    }
+
+    /** Engines that have crashed and taken no request since; a crash there would not be noticed. */
+    Set<ServerId> down() {
+        return Set.copyOf(down);
+    }
+
+    /** Marks what was in flight at an engine that has crashed; once for each crash. */
     void crashed(ServerId server) {
+        if (!down.add(server)) {
+            return;
+        }
         Map<Fingerprint, Optional<Region>> requests = new HashMap<>();
         for (InFlight one : inFlight.getOrDefault(server, Set.of())) {
             requests.put(Fingerprint.of(key, one.body), one.home);
         }
-        if (requests.isEmpty()) {
-            return;
-        }
-        Crash crash = crash(server);
-        log.warning("engine-crashed", "server", server, "in_flight", requests.size());
-        tell(quarantine.crashed(crash, requests, clock.nowMs()));
-    }
-
-    private Crash crash(ServerId server) {
         long nowMs = clock.nowMs();
-        return lastCrash
-                .compute(server, (name, seen) -> {
-                    boolean same = seen != null && nowMs - seen.atMs() < SAME_CRASH_MS;
-                    return same ? seen : new Seen(Crash.of(server, incarnation(server), nowMs), nowMs);
-                })
-                .crash();
+        log.warning("engine-crashed", "server", server, "in_flight", requests.size());
+        tell(quarantine.crashed(Crash.of(server, incarnation(server), nowMs), requests, nowMs));
     }
 
-    private Optional<org.ibissaddle.id.Incarnation> incarnation(ServerId server) {
+    private Optional<Incarnation> incarnation(ServerId server) {
         return state.fleet().servers().stream()
                 .filter(view -> view.id().equals(server))
                 .findFirst()
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/EnginePlaces.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/EnginePlaces.java
@@ -53,7 +53,10 @@
     }
 
     private Target place(Set<ServerId> tried, boolean apart) throws RefusedException {
-        Set<ServerId> busy = apart ? gate.busy() : Set.of();
+        Set<ServerId> busy = apart ? gate.busy() : new HashSet<>();
+        if (apart) {
+            busy.addAll(context.crashes().down());
+        }
         Set<ServerId> excluded = new HashSet<>(tried);
         excluded.addAll(busy);
         Work asked = work.withTried(excluded);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
@@ -115,6 +115,9 @@
                 .started(work, target.placement(), context.clock().nowMs()));
         Request request = requests.start(target, guard.attempt(), text);
         Opened opened = context.engines().start(target.id(), request, call::set);
+        if (opened instanceof Opened.Streaming) {
+            context.crashes().alive(target.id());
+        }
         if (opened instanceof Opened.Failed failed && failed.evidence() instanceof Evidence.LostAfterWrite) {
             return afterLostStart(target, failed);
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/WholeAnswers.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/WholeAnswers.java
@@ -67,6 +67,9 @@
                         work.deadlineMs() - context.clock().nowMs(),
                         call::set);
         Evidence evidence = checked(target, step.attempt(), work, heard.evidence());
+        if (evidence instanceof Evidence.Answered) {
+            context.crashes().alive(target.id());
+        }
         running.ended(evidence instanceof Evidence.Answered, context.clock().nowMs());
         if (evidence instanceof Evidence.LostAfterWrite || evidence instanceof Evidence.CutAnswer) {
             probe(target, work, call);
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/Cluster.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/Cluster.java
@@ -1,5 +1,6 @@
 package org.ibissaddle.proof.requests;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -14,8 +15,10 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
+import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.ibissaddle.standins.EngineOptions;
 import org.ibissaddle.standins.EngineStandin;
@@ -159,6 +162,37 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
+    /** Marks an instance as leaving in the platform's list. */
+    void leave(String name) {
+        platform.putInstance(new InstanceEntry(
+                name,
+                InstanceEntry.INSTANCE,
+                Optional.empty(),
+                "north",
+                "north-1",
+                text(callers.get(name)),
+                Optional.of("127.0.0.1:" + control.get(name)),
+                InstanceEntry.LEAVING));
+    }
+
+    /** Asks an instance which ones to use, first choice first. */
+    List<String> ask(String name) {
+        Request request = new Request.Builder()
+                .url(control(name) + "/v1/ask")
+                .post(RequestBody.create("{\"workspace\":\"w\"}", MediaType.get("application/json")))
+                .build();
+        List<String> names = new ArrayList<>();
+        try (Response response = http.newCall(request).execute()) {
+            new ObjectMapper()
+                    .readTree(response.body().string())
+                    .path("instances")
+                    .forEach(one -> names.add(one.path("name").asText()));
+            return names;
+        } catch (IOException e) {
+            return names;
+        }
+    }
+
     /** Starts the process of an instance. */
     synchronized void start(String name) throws IOException {
         Path root = Path.of(System.getProperty("user.dir")).getParent();
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/StreamCaller.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/StreamCaller.java
@@ -96,6 +96,14 @@
         }
     }
 
+    /** Calls once, without resuming or repeating anything. */
+    Ended callOnce(String url, String prompt, int words) {
+        Reading reading = new Reading();
+        boolean answered = read(start(url, prompt, words), reading);
+        Optional<String> error = answered ? reading.refusal : Optional.of("no answer");
+        return new Ended(reading.text.toString(), reading.done, reading.error.or(() -> error), 0);
+    }
+
     /** Starts an answer and goes when its head has come. */
     void goAfterHead(String instance, String prompt) {
         try (Response response = http.newCall(start(instance, prompt, 1_000)).execute()) {
@@ -112,6 +120,7 @@
         private final StringBuilder text = new StringBuilder();
         private Optional<String> lastId = Optional.empty();
         private Optional<String> error = Optional.empty();
+        private Optional<String> refusal = Optional.empty();
         private boolean done;
 
         @Override
@@ -137,6 +146,7 @@
 
         /** A refusal ends the answer when it has begun; one that has not begun is sent anew. */
         private void refused(String body) {
+            refusal = Optional.of(body);
             if (lastId.isPresent()) {
                 error = Optional.of(body);
             }
