--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.ibissaddle.outcome.Fate;
 
 /** A reply over a Netty channel, with at most one write buffer's worth of pieces waiting. */
@@ -25,17 +26,18 @@
     private static final int FIRST_ERROR_STATUS = 400;
 
     private final Channel channel;
-    private final boolean keepAlive;
+    private final BooleanSupplier mayKeep;
     private final Runnable whenEnded;
     private final AtomicReference<Runnable> goneAction = new AtomicReference<>();
     private final AtomicReference<Thread> waiter = new AtomicReference<>();
+    private volatile boolean keepAlive;
     private volatile boolean started;
     private volatile boolean ended;
     private volatile boolean gone;
 
-    NettyReply(Channel channel, boolean keepAlive, Runnable whenEnded) {
+    NettyReply(Channel channel, BooleanSupplier mayKeep, Runnable whenEnded) {
         this.channel = channel;
-        this.keepAlive = keepAlive;
+        this.mayKeep = mayKeep;
         this.whenEnded = whenEnded;
     }
 
@@ -138,6 +140,7 @@
     }
 
     private void setConnection(HttpResponse response) {
+        keepAlive = mayKeep.getAsBoolean();
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
