Learn how much a server's cache holds, and weigh a miss

Change: entries age by what the server has stored since, against a capacity learnt from evictions; a miss away from the prompt's owner counts three times.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Chooser.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Chooser.java
@@ -9,7 +9,9 @@
 final class Chooser {
     private static final int MAX_HOLDERS = 4;
     private static final double DECODE_WEIGHT = 0.1;
-    private static final double OWNER_BONUS = 0.25;
+    /** What reading a prompt again costs others on a server that is not the prompt's owner: a wait and an eviction. */
+    private static final double MISS_WEIGHT = 2;
+
     private static final int DRAWS = 4;
 
     private final Tuning tuning;
@@ -40,7 +42,7 @@
         Choice best = holders(work, all, pool, nowMs, random);
         best = owner(work, all, pool, best, nowMs, random);
         for (int i = 0; i < tuning.samples(); i++) {
-            best = better(best, draw(work, all.live, pool, nowMs, random), work, random, 0);
+            best = better(best, draw(work, all.live, pool, nowMs, random), work, random, MISS_WEIGHT);
         }
         if (!best.found()) {
             best = any(work, all.live, pool, nowMs, random);
@@ -65,7 +67,7 @@
         if (chain.isEmpty()) {
             return work.promptTokens();
         }
-        int hit = prefixes.match(chain, state.number);
+        int hit = prefixes.match(chain, state);
         double share = (double) hit / chain.size() * state.confidence();
         return work.promptTokens() * (1 - share);
     }
@@ -80,7 +82,7 @@
         for (int i = 0; i < n; i++) {
             Candidate c = all.numbered(numbers[i]);
             if (c != null && open(c, work, pool, nowMs)) {
-                best = better(best, c, work, random, 0);
+                best = better(best, c, work, random, MISS_WEIGHT);
             }
         }
         return best;
@@ -92,7 +94,7 @@
         }
         Candidate owner = all.owner(PrefixIndex.mix(work.prefix().getFirst()));
         boolean usable = owner != null && open(owner, work, pool, nowMs);
-        return usable ? better(best, owner, work, random, OWNER_BONUS) : best;
+        return usable ? better(best, owner, work, random, 0) : best;
     }
 
     private Candidate draw(Work work, Candidate[] from, PoolState pool, long nowMs, RandomGenerator random) {
@@ -110,19 +112,19 @@
         for (int i = 0; i < from.length; i++) {
             Candidate c = from[(start + i) % from.length];
             if (open(c, work, pool, nowMs)) {
-                return better(Choice.NONE, c, work, random, 0);
+                return better(Choice.NONE, c, work, random, MISS_WEIGHT);
             }
         }
         return Choice.NONE;
     }
 
-    private Choice better(Choice best, Candidate c, Work work, RandomGenerator random, double bonus) {
+    private Choice better(Choice best, Candidate c, Work work, RandomGenerator random, double missWeight) {
         if (c == null) {
             return best;
         }
         double uncached = uncached(work, c.state);
         double firstToken = c.firstTokenMs(uncached);
-        double whole = firstToken + DECODE_WEIGHT * c.decodeMs() - bonus * c.prefillMs(uncached);
+        double whole = firstToken + DECODE_WEIGHT * c.decodeMs() + missWeight * c.prefillMs(uncached);
         double score = whole * (1 + tuning.jitter() * random.nextDouble());
         return score < best.score ? new Choice(c, firstToken, score) : best;
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/DefaultWeightedPolicy.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/DefaultWeightedPolicy.java
@@ -123,9 +123,9 @@
         }
         state.cacheEvent();
         if (stored) {
-            prefixes.add(block, state.number, nowMs);
+            prefixes.add(block, state);
         } else {
-            prefixes.remove(block, state.number);
+            prefixes.evicted(block, state);
         }
     }
 
@@ -193,7 +193,7 @@
         running.ejection(tuning.failuresToEject(), tuning.ejectMs(), most);
         running.predicted(now == null ? 0 : predicted(now, work, state));
         running.begin();
-        prefixes.add(work.prefix(), state.number, nowMs);
+        prefixes.add(work.prefix(), state);
         return running;
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PrefixIndex.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PrefixIndex.java
@@ -13,7 +13,7 @@
     private static final int TIME_BITS = 16;
     private static final long SERVER_MASK = (1L << SERVER_BITS) - 1;
     private static final long TIME_MASK = (1L << TIME_BITS) - 1;
-    private static final long TICK_MS = 250;
+    private static final int BLOCKS_PER_TICK = 4;
 
     private final AtomicLongArray table;
     private final int sets;
@@ -24,18 +24,18 @@
     }
 
     /** Notes that a server was given a chain of blocks. */
-    void add(List<Long> chain, int server, long nowMs) {
+    void add(List<Long> chain, ServerState server) {
+        server.inserted(chain.size() - match(chain, server));
         for (int i = 0; i < chain.size(); i++) {
-            add(chain.get(i), server, nowMs);
+            add(chain.get(i), server);
         }
     }
 
     /** Notes that a server holds a block. */
-    void add(long block, int server, long nowMs) {
+    void add(long block, ServerState server) {
         long hash = mix(block);
         int base = base(hash);
-        long entry = entry(hash, server, nowMs);
-        long now = nowMs / TICK_MS;
+        long entry = entry(hash, server.number, tick(server));
         int oldest = base;
         long oldestAge = -1;
         for (int i = base; i < base + WAYS; i++) {
@@ -44,7 +44,7 @@
                 table.set(i, entry);
                 return;
             }
-            long age = (now - (old & TIME_MASK)) & TIME_MASK;
+            long age = (entry - old) & TIME_MASK;
             if (age > oldestAge) {
                 oldestAge = age;
                 oldest = i;
@@ -53,21 +53,22 @@
         table.set(oldest, entry);
     }
 
-    /** Forgets that a server holds a block. */
-    void remove(long block, int server) {
+    /** Takes in that a server has evicted a block, and learns from it how much its cache holds. */
+    void evicted(long block, ServerState server) {
         long hash = mix(block);
         int base = base(hash);
-        long key = entry(hash, server, 0);
+        long key = entry(hash, server.number, 0);
         for (int i = base; i < base + WAYS; i++) {
             long old = table.get(i);
             if (old != 0 && sameKey(old, key)) {
+                server.evictedAfter(age(old, server));
                 table.compareAndSet(i, old, 0);
             }
         }
     }
 
     /** Counts the leading blocks of a chain that a server is believed to hold. */
-    int match(List<Long> chain, int server) {
+    int match(List<Long> chain, ServerState server) {
         if (chain.isEmpty() || !holds(chain.getFirst(), server)) {
             return 0;
         }
@@ -123,14 +124,14 @@
         return n;
     }
 
-    private boolean holds(long block, int server) {
+    private boolean holds(long block, ServerState server) {
         long hash = mix(block);
         int base = base(hash);
-        long key = entry(hash, server, 0);
+        long key = entry(hash, server.number, 0);
         for (int i = base; i < base + WAYS; i++) {
             long old = table.get(i);
             if (old != 0 && sameKey(old, key)) {
-                return true;
+                return age(old, server) < server.cacheBlocks();
             }
         }
         return false;
@@ -144,9 +145,18 @@
         return a >>> TIME_BITS == b >>> TIME_BITS;
     }
 
-    private static long entry(long hash, int server, long nowMs) {
+    /** Blocks that a server has stored since an entry was made or used. */
+    private static long age(long entry, ServerState server) {
+        return ((tick(server) - entry) & TIME_MASK) * BLOCKS_PER_TICK;
+    }
+
+    private static long tick(ServerState server) {
+        return server.insertedBlocks() / BLOCKS_PER_TICK;
+    }
+
+    private static long entry(long hash, int server, long tick) {
         long tag = hash >>> (SERVER_BITS + TIME_BITS);
-        return tag << (SERVER_BITS + TIME_BITS) | (server & SERVER_MASK) << TIME_BITS | ((nowMs / TICK_MS) & TIME_MASK);
+        return tag << (SERVER_BITS + TIME_BITS) | (server & SERVER_MASK) << TIME_BITS | (tick & TIME_MASK);
     }
 
     /** Spreads the bits of a hash. */
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ServerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ServerState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.ServerView;
 import org.ibissaddle.id.Incarnation;
@@ -17,6 +18,7 @@
     private static final double CONFIDENCE_LOSS = 0.5;
     private static final double CONFIDENCE_GAIN = 0.02;
     private static final double MIN_CONFIDENCE = 0.1;
+    private static final double CACHE_WEIGHT = 0.02;
     private static final int RAMP_REQUESTS = 100;
 
     final ServerId id;
@@ -27,6 +29,8 @@
     private final AtomicInteger succeeded = new AtomicInteger();
     private volatile Optional<Incarnation> incarnation;
     private volatile Health health = Health.LIVE;
+    private final AtomicLong insertedBlocks = new AtomicLong();
+    private volatile double cacheBlocks = Double.POSITIVE_INFINITY;
     private volatile double slowness = 1;
     private volatile double confidence = 1;
     private volatile boolean ramping = true;
@@ -49,6 +53,26 @@
         return confidence;
     }
 
+    /** Prefix blocks that it was given and did not hold. */
+    long insertedBlocks() {
+        return insertedBlocks.get();
+    }
+
+    void inserted(int blocks) {
+        insertedBlocks.addAndGet(blocks);
+    }
+
+    /** Blocks that it stores before one that is not used is evicted; infinite until it was seen to evict. */
+    double cacheBlocks() {
+        return cacheBlocks;
+    }
+
+    /** Learns that a block was evicted after so many others had been stored. */
+    void evictedAfter(long blocks) {
+        double old = cacheBlocks;
+        cacheBlocks = Double.isInfinite(old) ? blocks : old + CACHE_WEIGHT * (blocks - old);
+    }
+
     /** Whether its cache is not yet as warm as those of the others. */
     boolean ramping() {
         return ramping;
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Contender.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Contender.java
@@ -1,22 +1,26 @@
 package org.ibissaddle.proof.policy;
 
-import java.util.function.Supplier;
 import org.ibissaddle.placement.PlacementPolicy;
 import org.ibissaddle.placement.Placements;
 import org.ibissaddle.placement.Tuning;
 
 /** A policy in the comparison. */
 enum Contender {
-    WEIGHTED(() -> Placements.weighted(Tuning.defaults())),
-    ROUND_ROBIN(Placements::roundRobin),
-    LEAST_OUTSTANDING(Placements::leastOutstanding),
-    HOME_ONLY(Placements::homeOnly),
-    ALWAYS_SPILL(Placements::alwaysSpill),
-    PREFIX_AFFINITY(Placements::prefixAffinity);
+    WEIGHTED,
+    ROUND_ROBIN,
+    LEAST_OUTSTANDING,
+    HOME_ONLY,
+    ALWAYS_SPILL,
+    PREFIX_AFFINITY;
 
-    final Supplier<PlacementPolicy> made;
-
-    Contender(Supplier<PlacementPolicy> made) {
-        this.made = made;
+    PlacementPolicy make() {
+        return switch (this) {
+            case WEIGHTED -> Placements.weighted(Tuning.defaults());
+            case ROUND_ROBIN -> Placements.roundRobin();
+            case LEAST_OUTSTANDING -> Placements.leastOutstanding();
+            case HOME_ONLY -> Placements.homeOnly();
+            case ALWAYS_SPILL -> Placements.alwaysSpill();
+            case PREFIX_AFFINITY -> Placements.prefixAffinity();
+        };
     }
 }
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Deployment.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Deployment.java
@@ -22,8 +22,10 @@
 
 /** The two deployments: three regions with 3, 3 and 2 engines, and their own links and weights. */
 enum Deployment {
-    COOPERATIVE(new Weights(0.4, 0.2, 0.4, 660, false), new SpillRules(true, 0.3, 0.6, 0.3, 0.1, 0.3), 12_500_000),
-    STRATKA(new Weights(0.1, 0.8, 0.1, 660, false), new SpillRules(true, 0.5, 0.5, 0.3, 0.1, 0.5), 175_000_000);
+    /** Weighs cost and the share sent away; 100 Mb/s between regions. */
+    COOPERATIVE(12_500_000),
+    /** Weighs tail latency; 1,400 Mb/s between regions. */
+    STRATKA(175_000_000);
 
     static final List<Region> REGIONS = List.of(new Region("r0"), new Region("r1"), new Region("r2"));
     static final int[] ENGINES = {3, 3, 2};
@@ -38,16 +40,26 @@
     private static final double LINK_PRICE_PER_GIGABYTE = 0.05;
     private static final double PRICE_PER_MILLION_TOKENS = 1;
 
-    final Weights weights;
-    private final SpillRules spill;
     private final long linkBytesPerSecond;
 
-    Deployment(Weights weights, SpillRules spill, long linkBytesPerSecond) {
-        this.weights = weights;
-        this.spill = spill;
+    Deployment(long linkBytesPerSecond) {
         this.linkBytesPerSecond = linkBytesPerSecond;
     }
 
+    Weights weights() {
+        return switch (this) {
+            case COOPERATIVE -> new Weights(0.4, 0.2, 0.4, 660, false);
+            case STRATKA -> new Weights(0.1, 0.8, 0.1, 660, false);
+        };
+    }
+
+    private SpillRules spill() {
+        return switch (this) {
+            case COOPERATIVE -> new SpillRules(true, 0.3, 0.6, 0.3, 0.1, 0.3);
+            case STRATKA -> new SpillRules(true, 0.5, 0.5, 0.3, 0.1, 0.5);
+        };
+    }
+
     double linkRate() {
         return (double) linkBytesPerSecond / LINK_SCALE;
     }
@@ -85,8 +97,8 @@
                 workspaces,
                 List.of(),
                 links,
-                spill,
-                weights);
+                spill(),
+                weights());
     }
 
     private static void add(Map<WorkspaceId, Workspace> all, String name, Optional<Region> home, int priority) {
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Gateway.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Gateway.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -32,6 +33,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.RequestId;
+import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.note.ReleaseNote;
 import org.ibissaddle.placement.Placement;
@@ -53,6 +55,7 @@
     private final List<ServerView> servers;
     private final ReleaseNote note;
     private final HttpClient http;
+    private final Map<ServerId, Long> seen = new ConcurrentHashMap<>();
     private volatile FleetView view;
 
     /** What came of a try. */
@@ -95,9 +98,37 @@
             me = self(reportedLoad(fresh), 0);
         }
         view = new FleetView(me, others, fresh, now);
+        servers.forEach(this::pollCache);
         release();
     }
 
+    private void pollCache(ServerView server) {
+        if (!(policy instanceof WeightedPolicy weighted)) {
+            return;
+        }
+        long after = seen.getOrDefault(server.id(), 0L);
+        URI uri = URI.create("http://" + server.address() + "/cache-events?after=" + after);
+        HttpRequest request =
+                HttpRequest.newBuilder(uri).timeout(Duration.ofMillis(300)).build();
+        http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .thenAccept(response -> events(weighted, server, after, response.body()))
+                .exceptionally(e -> null);
+    }
+
+    private void events(WeightedPolicy weighted, ServerView server, long after, String body) {
+        long last = after;
+        for (JsonNode event : tree(body).path("events")) {
+            long sequence = event.path("seq").asLong();
+            if (sequence > last + 1) {
+                weighted.cacheGap(server.id());
+            }
+            last = sequence;
+            long block = Long.parseUnsignedLong(event.path("block").asText(), 16);
+            weighted.cacheEvent(server.id(), block, event.path("kind").asText().equalsIgnoreCase("stored"), now());
+        }
+        seen.put(server.id(), last);
+    }
+
     /** Admits a request that came from a caller; false when it is refused. */
     boolean admit(Work work) {
         if (!(policy instanceof WeightedPolicy weighted)) {
@@ -199,20 +230,24 @@
     }
 
     private static ServerView seen(ServerView server, String body) {
+        JsonNode load = tree(body);
+        ServerLoad report = new ServerLoad(
+                load.path("at_ms").asLong(),
+                load.path("running").asInt(),
+                load.path("queued").asInt(),
+                load.path("queued_tokens").asLong(),
+                load.path("decode_tokens").asLong(),
+                load.path("capacity_tokens_per_s").asDouble(),
+                load.path("hit_rate").asDouble());
+        Incarnation life = new Incarnation(load.path("incarnation").asLong(), 0);
+        return with(server, Optional.of(life), Health.LIVE, report);
+    }
+
+    private static JsonNode tree(String body) {
         try {
-            JsonNode load = JSON.readTree(body);
-            ServerLoad report = new ServerLoad(
-                    load.path("at_ms").asLong(),
-                    load.path("running").asInt(),
-                    load.path("queued").asInt(),
-                    load.path("queued_tokens").asLong(),
-                    load.path("decode_tokens").asLong(),
-                    load.path("capacity_tokens_per_s").asDouble(),
-                    load.path("hit_rate").asDouble());
-            Incarnation life = new Incarnation(load.path("incarnation").asLong(), 0);
-            return with(server, Optional.of(life), Health.LIVE, report);
+            return JSON.readTree(body);
         } catch (IOException e) {
-            return with(server, server.incarnation(), Health.SUSPECT, ServerLoad.NONE);
+            throw new UncheckedIOException("an engine's answer is not JSON", e);
         }
     }
 
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/PolicyComparison.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/PolicyComparison.java
@@ -113,9 +113,11 @@
 
     /** The deployment's weighted sum: cost over the cheapest, p99 over target, share sent away. */
     private static double sum(Deployment deployment, Figures f, double cheapest) {
-        return deployment.weights.cost() * f.costPerGood() / cheapest
-                + deployment.weights.tail() * f.firstToken(0.99) / deployment.weights.firstTokenTargetMs()
-                + deployment.weights.sentAway() * f.share(Figures.Sample::away);
+        return deployment.weights().cost() * f.costPerGood() / cheapest
+                + deployment.weights().tail()
+                        * f.firstToken(0.99)
+                        / deployment.weights().firstTokenTargetMs()
+                + deployment.weights().sentAway() * f.share(Figures.Sample::away);
     }
 
     private static void cell(StringBuilder out, List<Figures> runs, String form, ToDoubleFunction<Figures> value) {
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/World.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/World.java
@@ -75,7 +75,7 @@
             Region region = Deployment.REGIONS.get(GATEWAY_REGIONS[i]);
             List<ServerView> own =
                     servers.stream().filter(s -> s.region().equals(region)).toList();
-            gateways.add(new Gateway("g" + i, region, contender.made.get(), own, this));
+            gateways.add(new Gateway("g" + i, region, contender.make(), own, this));
         }
     }
 
@@ -181,7 +181,7 @@
             EngineStats stats = engine.stats();
             tokens += stats.prefilledTokens() * 0.125 + stats.decodedTokens();
         }
-        return deployment.cost(tokens, linkBytes.get());
+        return deployment.cost(tokens, (double) linkBytes.get());
     }
 
     private void call(Scenario.Arrival arrival, int number, long seed, boolean counted) {
