--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -15,6 +15,7 @@
         all.add(new NoteShowCommand());
         all.add(new NoteDiffCommand());
         all.add(new StatusCommand());
+        all.add(new LoadCommand());
         all.add(new DemoCommand());
         all.addAll(StandinCommands.all());
         return all;
