--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -17,6 +17,7 @@
         all.add(new StatusCommand());
         all.add(new LoadCommand());
         all.add(new DemoCommand());
+        all.add(new TimelineCommand());
         all.addAll(StandinCommands.all());
         return all;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
@@ -113,7 +113,7 @@
         return kept.send(
                 new ServerId(peer.id().name()),
                 peer.callerAddress(),
-                call.toInstance(Hops.of(settings)),
+                call.toInstance(Hops.of(settings), state.recorder().send()),
                 Optional::empty,
                 call.deadlineMs() - clock.nowMs());
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -14,11 +14,13 @@
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.stream.StreamResumes;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.outcome.Fate;
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
 import org.ibissaddle.outcome.RefusedException;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.timeline.Event;
 
 /** The way of a request: admit and bind on its head, then place, dispatch, relay and account. */
 public final class RequestPath implements CallerService {
@@ -67,6 +69,7 @@
 
     @Override
     public Optional<Refusal> check(RequestHead head) {
+        state.recorder().receive(head.header(Recorder.HEADER));
         try {
             if (!isModelList(head)) {
                 binding.require(head);
@@ -76,6 +79,7 @@
         } catch (RefusedException e) {
             Refusal refusal = unproven(head, e.refusal());
             logRefusal(refusal);
+            state.recorder().record(new Event.Refused(refusal.type(), refusal.fate()));
             return Optional.of(refusal);
         }
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/EngineRequests.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/EngineRequests.java
@@ -10,6 +10,7 @@
 import org.ibissaddle.daemon.backend.StreamClient;
 import org.ibissaddle.daemon.path.Headers;
 import org.ibissaddle.daemon.settings.Settings;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.placement.Work;
 
 /** Builds what engines and other instances are sent for one model call. */
@@ -17,11 +18,13 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Settings settings;
+    private final Recorder recorder;
     private final Work work;
     private final String path;
     private final byte[] body;
 
-    EngineRequests(Settings settings, Work work, String path, byte[] body) {
+    EngineRequests(Settings settings, Recorder recorder, Work work, String path, byte[] body) {
+        this.recorder = recorder;
         this.settings = settings;
         this.work = work;
         this.path = path;
@@ -43,6 +46,7 @@
         headers.put(Headers.DEADLINE, Long.toString(work.deadlineMs()));
         if (target.peer()) {
             headers.put(Headers.HOP, hop());
+            headers.put(Recorder.HEADER, recorder.send().toString());
         }
         return StreamClient.post(
                 target.address(), path, headers, text.map(this::behind).orElse(body));
@@ -58,6 +62,7 @@
                 .header(Headers.WORKSPACE, work.workspace().id().name())
                 .header("Last-Event-ID", lastId.orElse(""))
                 .header(Headers.HOP, hop())
+                .header(Recorder.HEADER, recorder.send().toString())
                 .build();
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/ModelAnswers.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/ModelAnswers.java
@@ -34,8 +34,12 @@
      */
     public void answer(CallerRequest request, Work work, boolean streamed, CallerReply reply)
             throws RefusedException, IOException {
-        EngineRequests requests =
-                new EngineRequests(context.settings(), work, request.head().path(), request.body());
+        EngineRequests requests = new EngineRequests(
+                context.settings(),
+                context.state().recorder(),
+                work,
+                request.head().path(),
+                request.body());
         EnginePlaces places = new EnginePlaces(context, gate, work, request.body());
         if (streamed) {
             new StreamSession(context, requests, places, work, reply, request.arrivedAtMs()).run();
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
@@ -16,6 +16,7 @@
 import org.ibissaddle.daemon.settings.DeploymentKey;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.dispatch.OnceLedger;
 import org.ibissaddle.dispatch.OnceLimits;
 import org.ibissaddle.fleet.FleetView;
@@ -27,6 +28,7 @@
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.ticket.Tickets;
+import org.ibissaddle.timeline.Origin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -57,7 +59,9 @@
                 Level.INFO);
         InstanceView self =
                 new InstanceView(id, java.util.Optional.empty(), region, zone, address, address, Health.LIVE, 0, 0);
-        SharedState state = new SharedState(new FleetView(self, List.of(), List.of(), 0));
+        SharedState state = new SharedState(
+                new FleetView(self, List.of(), List.of(), 0),
+                new Recorder(new Origin(id, new Incarnation(1, 1), region, zone), System::currentTimeMillis));
         DeploymentKey secret = settings.deploymentKey();
         TicketDesk desk = new TicketDesk(
                 state,
