--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
@@ -43,6 +43,11 @@
         final AtomicBoolean gone = new AtomicBoolean();
         final CountDownLatch cut = new CountDownLatch(1);
 
+        @Override
+        public boolean leaving() {
+            return false;
+        }
+
         @Override
         public Optional<Refusal> check(RequestHead head) {
             return switch (head.path()) {
