Let requests tell the control loop what they see of servers

Cause: a server that refused as leaving, or could not be connected to, was known to one request only. Change: evidence of attempts goes to membership; the own region's load estimate goes to peers; shares of limits are kept for instances that cannot be reached.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -90,6 +90,8 @@
         routes.add(new AskRoute(state, parts.desk(), clock));
         routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
+        state.observations().listen(plane::unreachable, plane::leaving);
+        parts.reportLoad(plane::estimated);
         plane.start();
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
         return new Daemon(state, parts, callers, control, plane, clock, log);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ibissaddle.daemon.admission.AdmissionGate;
 import org.ibissaddle.daemon.admission.GatedPolicy;
+import org.ibissaddle.daemon.admission.RegionEstimate;
 import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.backend.StreamClient;
 import org.ibissaddle.daemon.caller.RefusalCounts;
@@ -40,6 +41,7 @@
 /** Builds the parts that requests pass and holds them together. */
 final class RequestParts implements AutoCloseable {
     private static final long ADVANCE_INTERVAL_MS = 50;
+    private static final long ESTIMATE_INTERVAL_MS = 500;
     private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final RequestPath path;
@@ -49,6 +51,7 @@
     private final StreamClient engines;
     private final PlainServices services;
     private final ScheduledExecutorService expiry;
+    private final RegionEstimate estimate;
 
     private RequestParts(
             RequestPath path,
@@ -57,7 +60,8 @@
             List<ControlRoutes> peerRoutes,
             StreamClient engines,
             PlainServices services,
-            ScheduledExecutorService expiry) {
+            ScheduledExecutorService expiry,
+            RegionEstimate estimate) {
         this.path = path;
         this.refusals = refusals;
         this.desk = desk;
@@ -65,6 +69,7 @@
         this.engines = engines;
         this.services = services;
         this.expiry = expiry;
+        this.estimate = estimate;
     }
 
     static RequestParts create(
@@ -121,13 +126,27 @@
                 gate::advanceAll, ADVANCE_INTERVAL_MS, ADVANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
         var unusedTidy = expiry.scheduleWithFixedDelay(gate::tidy, 0, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         TicketDesk desk = new TicketDesk(state, ledger, tickets, clock);
-        return new RequestParts(path, refusals, desk, List.of(crashes, claims), engines, services, expiry);
+        return new RequestParts(
+                path,
+                refusals,
+                desk,
+                List.of(crashes, claims),
+                engines,
+                services,
+                expiry,
+                new RegionEstimate(state, weighted, clock));
     }
 
     RequestPath path() {
         return path;
     }
 
+    /** Tells the estimate of the own region's load at an interval from now on. */
+    void reportLoad(RegionEstimate.Listener listener) {
+        var unused = expiry.scheduleWithFixedDelay(
+                () -> estimate.tell(listener), ESTIMATE_INTERVAL_MS, ESTIMATE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
     RefusalCounts refusals() {
         return refusals;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/admission/AdmissionGate.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/admission/AdmissionGate.java
@@ -16,6 +16,7 @@
 import org.ibissaddle.admission.WorkspaceLimits;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.PoolId;
@@ -176,7 +177,7 @@
     public void tidy() {
         FleetView fleet = state.fleet();
         Set<InstanceId> peers = fleet.peers().stream()
-                .filter(peer -> peer.health().takesNewWork())
+                .filter(peer -> peer.health() != Health.LEAVING)
                 .map(InstanceView::id)
                 .collect(Collectors.toSet());
         lane.run(() -> {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
@@ -124,9 +124,7 @@
 
     private static Evidence heard(ServerId server, Response response, Attempt attempt) throws IOException {
         if (Fate.NOT_RUN.word().equals(response.header(RAN))) {
-            Refusal refusal =
-                    Refusal.of(RefusalType.NO_SERVER, "server " + server + " did not take the call", Fate.NOT_RUN);
-            return new Evidence.SaidNotRun(server, refusal);
+            return new Evidence.SaidNotRun(server, ServerRefusals.read(server, response));
         }
         if (response.body().source().request(MAX_ANSWER_BYTES)) {
             Refusal refusal = Refusal.of(
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -162,9 +162,7 @@
     private static Evidence heard(ServerId server, Response response) throws IOException {
         boolean refused = response.code() >= 500 || response.code() == 404 || response.code() == 429;
         if (refused && Fate.NOT_RUN.word().equals(response.header("X-Ran"))) {
-            return new Evidence.SaidNotRun(
-                    server,
-                    Refusal.of(RefusalType.NO_SERVER, "server " + server + " did not take the call", Fate.NOT_RUN));
+            return new Evidence.SaidNotRun(server, ServerRefusals.read(server, response));
         }
         if (response.code() >= 500) {
             return new Evidence.LostAfterWrite(
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
@@ -81,6 +81,7 @@
             case Placement.Serve serve -> {
                 PlacementPolicy.Running running = policy.started(work, placement, clock.nowMs());
                 Evidence evidence = send(serve.server(), step, call, permit);
+                state.observations().observe(evidence);
                 running.ended(evidence instanceof Evidence.Answered, clock.nowMs());
                 yield evidence;
             }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
@@ -14,6 +14,7 @@
     private final AtomicReference<FleetView> fleet;
     private final AtomicBoolean draining = new AtomicBoolean();
     private final Recorder recorder;
+    private final ServerObservations observations = new ServerObservations();
 
     /**
      * Starts without a note.
@@ -26,6 +27,15 @@
         this.recorder = recorder;
     }
 
+    /**
+     * Returns where requests report what they see of backend servers.
+     *
+     * @return the observations
+     */
+    public ServerObservations observations() {
+        return observations;
+    }
+
     /**
      * Returns the recorder of events.
      *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
@@ -115,6 +115,9 @@
                 .started(work, target.placement(), context.clock().nowMs()));
         Request request = requests.start(target, guard.attempt(), text);
         Opened opened = context.engines().start(target.id(), request, call::set);
+        if (opened instanceof Opened.Failed refused && !target.peer()) {
+            context.state().observations().observe(refused.evidence());
+        }
         if (opened instanceof Opened.Streaming) {
             context.crashes().alive(target.id());
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/WholeAnswers.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/WholeAnswers.java
@@ -67,6 +67,7 @@
                         work.deadlineMs() - context.clock().nowMs(),
                         call::set);
         Evidence evidence = checked(target, step.attempt(), work, heard.evidence());
+        observe(target, evidence);
         if (evidence instanceof Evidence.Answered) {
             context.crashes().alive(target.id());
         }
@@ -77,6 +78,12 @@
         return evidence;
     }
 
+    private void observe(Target target, Evidence evidence) {
+        if (!target.peer()) {
+            context.state().observations().observe(evidence);
+        }
+    }
+
     /** An answer for another request or attempt is none. */
     private static Evidence checked(Target target, int attempt, Work work, Evidence evidence) {
         if (!(evidence instanceof Evidence.Answered answered)
