--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -79,13 +79,13 @@
         FleetView beliefs = firstBeliefs(settings, clock);
         Recorder recorder = new Recorder(origin(beliefs.self()), clock);
         SharedState state = new SharedState(beliefs, recorder);
-        RequestParts parts = RequestParts.create(
-                settings, state, Placements.weighted(Tuning.defaults()), recorder, clock, log, metrics);
+        RequestParts parts =
+                RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
         ControlPlane plane = ControlPlane.create(settings, state, clock, log);
         routes.add(plane.routes());
-        routes.add(new StatusRoute(settings, state, plane::noteStatus));
+        routes.add(new StatusRoute(settings, state, parts.refusals(), parts.path()::open, clock));
         routes.add(new AskRoute(state, parts.desk(), clock));
         routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -10,6 +10,7 @@
 import org.ibissaddle.daemon.admission.GatedPolicy;
 import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.backend.StreamClient;
+import org.ibissaddle.daemon.caller.RefusalCounts;
 import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.once.PlainServices;
@@ -26,7 +27,6 @@
 import org.ibissaddle.daemon.stream.ModelContext;
 import org.ibissaddle.daemon.stream.StreamClaims;
 import org.ibissaddle.daemon.stream.StreamResumes;
-import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.daemon.timeline.RecordingPolicy;
 import org.ibissaddle.dispatch.OnceLedger;
 import org.ibissaddle.dispatch.OnceLimits;
@@ -43,6 +43,7 @@
     private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final RequestPath path;
+    private final RefusalCounts refusals;
     private final TicketDesk desk;
     private final List<ControlRoutes> peerRoutes;
     private final StreamClient engines;
@@ -51,12 +52,14 @@
 
     private RequestParts(
             RequestPath path,
+            RefusalCounts refusals,
             TicketDesk desk,
             List<ControlRoutes> peerRoutes,
             StreamClient engines,
             PlainServices services,
             ScheduledExecutorService expiry) {
         this.path = path;
+        this.refusals = refusals;
         this.desk = desk;
         this.peerRoutes = peerRoutes;
         this.engines = engines;
@@ -68,7 +71,6 @@
             Settings settings,
             SharedState state,
             WeightedPolicy weighted,
-            Recorder recorder,
             Clock clock,
             EventLog log,
             MetricRegistry metrics) {
@@ -78,7 +80,7 @@
         OnceLedger ledger = new OnceLedger(
                 settings.instance(), state.fleet().self().incarnation().orElseThrow(), OnceLimits.DEFAULT);
         AdmissionGate gate = new AdmissionGate(state, weighted, clock);
-        PlacementPolicy recorded = new GatedPolicy(new RecordingPolicy(weighted, recorder), gate);
+        PlacementPolicy recorded = new RecordingPolicy(new GatedPolicy(weighted, gate), state.recorder());
         PlacementPolicy policy = new FreshPolicy(recorded, state, clock);
         RetryBudgets budgets = new RetryBudgets();
         StreamClient engines = new StreamClient(SourceSocketFactory.from(settings.callerAddress()));
@@ -97,12 +99,14 @@
                 log,
                 metrics.timer("model.first-token"));
         PlainServices services = new PlainServices(settings, state, policy, budgets, ledger, tickets, clock, log);
+        RefusalCounts refusals = new RefusalCounts(metrics);
         RequestPath path = new RequestPath(
                 state,
                 new Binding(state, settings.region()),
                 new ModelCalls(settings, state, gate, new ModelAnswers(context)),
                 services,
                 new StreamResumes(context),
+                refusals,
                 clock,
                 log);
         metrics.register("once.keys", (Gauge<Long>) ledger::size);
@@ -117,13 +121,17 @@
                 gate::advanceAll, ADVANCE_INTERVAL_MS, ADVANCE_INTERVAL_MS, TimeUnit.MILLISECONDS);
         var unusedTidy = expiry.scheduleWithFixedDelay(gate::tidy, 0, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
         TicketDesk desk = new TicketDesk(state, ledger, tickets, clock);
-        return new RequestParts(path, desk, List.of(crashes, claims), engines, services, expiry);
+        return new RequestParts(path, refusals, desk, List.of(crashes, claims), engines, services, expiry);
     }
 
     RequestPath path() {
         return path;
     }
 
+    RefusalCounts refusals() {
+        return refusals;
+    }
+
     TicketDesk desk() {
         return desk;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
@@ -5,12 +5,14 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.note.NoteStatus;
 import org.ibissaddle.note.ReleaseNote;
 import org.ibissaddle.timeline.Event;
 
 /** The note in force and the beliefs of one instance. Each is an immutable snapshot that is replaced as a whole. */
 public final class SharedState {
     private final AtomicReference<Optional<ReleaseNote>> note = new AtomicReference<>(Optional.empty());
+    private final AtomicReference<Optional<NoteStatus>> noteStatus = new AtomicReference<>(Optional.empty());
     private final AtomicReference<FleetView> fleet;
     private final AtomicBoolean draining = new AtomicBoolean();
     private final Recorder recorder;
@@ -54,6 +56,24 @@
         recorder.record(new Event.NoteInForce(next.number(), next.digest()));
     }
 
+    /**
+     * Returns what operators see of the note.
+     *
+     * @return source, freshness and trouble, empty before the first report
+     */
+    public Optional<NoteStatus> noteStatus() {
+        return noteStatus.get();
+    }
+
+    /**
+     * Reports on the note.
+     *
+     * @param status source, freshness and trouble
+     */
+    public void report(NoteStatus status) {
+        noteStatus.set(Optional.of(status));
+    }
+
     /**
      * Returns the current beliefs.
      *
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/World.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/World.java
@@ -181,7 +181,7 @@
             EngineStats stats = engine.stats();
             tokens += stats.prefilledTokens() * 0.125 + stats.decodedTokens();
         }
-        return deployment.cost(tokens, linkBytes.get());
+        return deployment.cost(tokens, (double) linkBytes.get());
     }
 
     private void call(Scenario.Arrival arrival, int number, long seed, boolean counted) {
