--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/StatusRoute.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/StatusRoute.java
@@ -70,7 +70,7 @@
         root.put("region", settings.region().name());
         root.put("zone", settings.zone().name());
         root.put("draining", state.draining());
-        state.note().ifPresent(inForce -> addNote(root.putObject("note"), inForce));
+        state.note().ifPresent(note -> addNote(root.putObject("note"), note));
         FleetView fleet = state.fleet();
         root.put("now_ms", clock.nowMs());
         root.put("open_requests", openRequests.getAsInt());
@@ -85,9 +85,12 @@
         return root;
     }
 
-    private void addNote(ObjectNode json, ReleaseNote inForce) {
-        NoteStatus status = note.get();
-        json.put("number", inForce.number()).put("digest", inForce.digest());
+    private void addNote(ObjectNode json, ReleaseNote note) {
+        json.put("number", note.number()).put("digest", note.digest());
+        state.noteStatus().ifPresent(status -> addStatus(json, status));
+    }
+
+    private static void addStatus(ObjectNode json, NoteStatus status) {
         json.put("accepted_at_ms", status.acceptedAtMs());
         status.source().ifPresent(source -> json.put("source", source.name().toLowerCase(Locale.ROOT)));
         status.freshAtMs().ifPresent(at -> json.put("fresh_at_ms", at));
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
@@ -26,7 +26,6 @@
 import org.ibissaddle.membership.Self;
 import org.ibissaddle.membership.ServerPoll;
 import org.ibissaddle.note.NoteFault;
-import org.ibissaddle.note.NoteStatus;
 import org.ibissaddle.note.Offered;
 import org.ibissaddle.port.Clock;
 import org.ibissaddle.ticket.DeploymentKey;
@@ -53,7 +52,6 @@
     private final LoopRunner runner;
     private final DeploymentKey key;
     private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
-    private volatile NoteStatus noteStatus;
     private boolean wasReady;
     private long viewedAtMs;
 
@@ -74,7 +72,6 @@
                 settings.callerAddress(),
                 settings.controlAddress());
         ControlLoop loop = ControlLoop.create(self, settings.seeds(), ThreadLocalRandom.current(), clock.nowMs());
-        this.noteStatus = loop.notes().status(clock.nowMs());
         this.runner = new LoopRunner(loop, clock, log, this::perform);
         OrderSender orders = new OrderSender(settings, http, clock, log, this::tell);
         runner.every(OrderSender.INTERVAL_MS, () -> orders.plan(loop, calls, runner::run));
@@ -107,15 +104,6 @@
         runner.start();
     }
 
-    /**
-     * Returns what operators see of the note.
-     *
-     * @return number, digest, source, freshness and trouble
-     */
-    public NoteStatus noteStatus() {
-        return noteStatus;
-    }
-
     /** Tells peers that this instance leaves. */
     public void leave() {
         tell(new Event.Leave());
@@ -166,7 +154,7 @@
         }
         if (Math.abs(nowMs - viewedAtMs) >= MIN_VIEW_MS) {
             viewedAtMs = nowMs;
-            noteStatus = loop.notes().status(nowMs);
+            state.report(loop.notes().status(nowMs));
             state.believe(loop.view(nowMs));
         }
     }
