Let learnt slowness fade and estimate queues by smoothed pace

The queue's wait was guessed from single gaps and came out near zero. Spare capacity was zero whenever a batch was full. Change: slowness is bounded by 2 and fades with 2 s; queue waits come from smoothed tokens over smoothed gaps; spare capacity follows the predicted load; queue waits count in spilling; a miss costs more where cost is weighed more.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/admission/Admission.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/admission/Admission.java
@@ -62,6 +62,14 @@
      */
     int waiting(PoolId pool);
 
+    /**
+     * Predicts how long a request that arrives last would wait in a pool's queue.
+     *
+     * @param pool the pool
+     * @return milliseconds
+     */
+    double queueWaitMs(PoolId pool);
+
     /**
      * Forgets workspaces that are idle.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/FairAdmission.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/FairAdmission.java
@@ -90,6 +90,11 @@
         return queue(pool).size();
     }
 
+    @Override
+    public double queueWaitMs(PoolId pool) {
+        return queue(pool).waitMs();
+    }
+
     @Override
     public int expire(long nowMs) {
         int active = 0;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/FairQueue.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/FairQueue.java
@@ -21,6 +21,7 @@
     private static final long PRIORITY_CREDIT = 200_000;
     private static final double MIN_WEIGHT = 1e-3;
     private static final double RATE_WEIGHT = 0.05;
+    private static final double MAX_GAP_MS = 1_000;
 
     private final ConcurrentSkipListSet<Entry> entries =
             new ConcurrentSkipListSet<>(Comparator.comparingLong(Entry::key).thenComparingLong(Entry::sequence));
@@ -29,8 +30,23 @@
     private final AtomicLong virtualTime = new AtomicLong();
     private final AtomicLong sequences = new AtomicLong();
     private final AtomicInteger size = new AtomicInteger();
-    private volatile double tokensPerMs;
-    private volatile long lastStartMs;
+    private volatile Pace pace = new Pace(0, 0, 0);
+
+    /** Speed at which requests were started: smoothed tokens and gaps, and when the last one was. */
+    private record Pace(double tokens, double gapMs, long atMs) {
+        Pace next(double startedTokens, long nowMs) {
+            if (atMs == 0) {
+                return new Pace(startedTokens, 0, nowMs);
+            }
+            double gap = Math.min(MAX_GAP_MS, (double) Math.max(0, nowMs - atMs));
+            return new Pace(
+                    tokens + RATE_WEIGHT * (startedTokens - tokens), gapMs + RATE_WEIGHT * (gap - gapMs), nowMs);
+        }
+
+        double waitMs(double ahead) {
+            return tokens <= 0 ? 0 : ahead * gapMs / tokens;
+        }
+    }
 
     /** A request with its tags. */
     record Entry(Work work, long start, long finish, long key, long sequence, double tokens) {}
@@ -118,23 +134,25 @@
     /** Notes that a request was given to a server. */
     void started(Entry entry, long nowMs) {
         virtualTime.accumulateAndGet(entry.start, Math::max);
-        long gap = Math.max(1, nowMs - lastStartMs);
-        lastStartMs = nowMs;
-        double speed = tokensPerMs;
-        tokensPerMs = speed + RATE_WEIGHT * (entry.tokens / gap - speed);
+        pace = pace.next(entry.tokens, nowMs);
     }
 
     /** Time that the requests before an entry will take, by the speed at which requests were started lately. */
     double waitMs(Entry entry) {
-        double speed = tokensPerMs;
-        if (isEmpty() || speed <= 0) {
-            return 0;
-        }
         double ahead = 0;
         for (Entry other : entries.headSet(entry)) {
             ahead += other.tokens;
         }
-        return ahead / speed;
+        return pace.waitMs(ahead);
+    }
+
+    /** Time that all waiting requests will take. */
+    double waitMs() {
+        double all = 0;
+        for (Entry other : entries) {
+            all += other.tokens;
+        }
+        return pace.waitMs(all);
     }
 
     /** Forgets workspaces whose tags say nothing any more; returns how many are left. */
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Candidate.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Candidate.java
@@ -6,12 +6,11 @@
 
 /** A server that may serve a kind of work, with its last report set against own work at the time of the report. */
 final class Candidate {
-    private static final int DEFAULT_SLOTS = 16;
-
     final ServerView view;
     final ServerState state;
     final boolean suspect;
     private final double msPerToken;
+    private final double slowness;
     private final double othersPrefill;
     private final double othersDecode;
     private final int othersRequests;
@@ -22,6 +21,7 @@
         this.state = state;
         suspect = view.health() == Health.SUSPECT;
         double capacity = load.capacityTokensPerSecond() > 0 ? load.capacityTokensPerSecond() : Costs.DEFAULT_CAPACITY;
+        slowness = state.slowness(nowMs);
         msPerToken = Costs.MS_PER_SECOND / (capacity * ramp);
         long then = load.reportedAtMs() > 0 ? state.own.at(Math.min(nowMs, load.reportedAtMs())) : 0;
         othersPrefill = Math.max(0, load.queuedTokens() - OwnWork.prefillOf(then));
@@ -31,7 +31,7 @@
 
     /** Predicted time until a request with so many uncached prompt tokens gets its first token here. */
     double firstTokenMs(double uncached) {
-        return unscaledFirstTokenMs(uncached) * state.slowness();
+        return unscaledFirstTokenMs(uncached) * slowness;
     }
 
     /** The same prediction before what was learnt of the server's speed is applied. */
@@ -45,7 +45,7 @@
 
     /** Time to read prompt tokens here when nothing else is to be done. */
     double prefillMs(double tokens) {
-        return tokens * Costs.PREFILL * msPerToken;
+        return tokens * Costs.PREFILL * msPerToken * slowness;
     }
 
     /** Speed of the server while it is not ramping. */
@@ -58,13 +58,6 @@
         return decode() * msPerToken;
     }
 
-    /** Capacity over what is in use for generation. */
-    double spareTokensPerSecond() {
-        int slots = state.slots() == Integer.MAX_VALUE ? DEFAULT_SLOTS : state.slots();
-        double used = Math.min(1, (double) requests() / slots);
-        return tokensPerSecond() * (1 - used);
-    }
-
     /** Requests at the server. */
     int requests() {
         return Math.max(0, state.own.requests()) + othersRequests;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Candidates.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Candidates.java
@@ -7,7 +7,7 @@
 
 /** Servers of the own region that can do a kind of work, prepared once for each fleet view. */
 final class Candidates {
-    private static final int POINTS = 16;
+    private static final int POINTS = 64;
 
     final Candidate[] live;
     final Candidate[] suspect;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Chooser.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Chooser.java
@@ -9,8 +9,8 @@
 final class Chooser {
     private static final int MAX_HOLDERS = 4;
     private static final double DECODE_WEIGHT = 0.1;
-    /** What reading a prompt again costs others on a server that is not the prompt's owner: a wait and an eviction. */
-    private static final double MISS_WEIGHT = 2;
+    /** What serving a prompt away from its owner costs even on a hit, in times to read it: it keeps a second copy. */
+    private static final double COPY_WEIGHT = 0.3;
 
     private static final int DRAWS = 4;
 
@@ -38,16 +38,16 @@
     }
 
     /** Chooses a server; suspect ones only when no other is left. */
-    Choice choose(Work work, Candidates all, PoolState pool, long nowMs, RandomGenerator random) {
-        Choice best = holders(work, all, pool, nowMs, random);
+    Choice choose(Work work, Candidates all, PoolState pool, double missWeight, long nowMs, RandomGenerator random) {
+        Choice best = holders(work, all, pool, missWeight, nowMs, random);
         best = owner(work, all, pool, best, nowMs, random);
         for (int i = 0; i < tuning.samples(); i++) {
-            best = better(best, draw(work, all.live, pool, nowMs, random), work, random, MISS_WEIGHT);
+            best = better(best, draw(work, all.live, pool, nowMs, random), work, random, missWeight);
         }
         if (!best.found()) {
-            best = any(work, all.live, pool, nowMs, random);
+            best = any(work, all.live, pool, missWeight, nowMs, random);
         }
-        return best.found() ? best : any(work, all.suspect, pool, nowMs, random);
+        return best.found() ? best : any(work, all.suspect, pool, missWeight, nowMs, random);
     }
 
     /** Predicted wait on the best server, infinite when there is none. */
@@ -72,7 +72,8 @@
         return work.promptTokens() * (1 - share);
     }
 
-    private Choice holders(Work work, Candidates all, PoolState pool, long nowMs, RandomGenerator random) {
+    private Choice holders(
+            Work work, Candidates all, PoolState pool, double missWeight, long nowMs, RandomGenerator random) {
         Choice best = Choice.NONE;
         if (work.prefix().isEmpty()) {
             return best;
@@ -82,7 +83,7 @@
         for (int i = 0; i < n; i++) {
             Candidate c = all.numbered(numbers[i]);
             if (c != null && open(c, work, pool, nowMs)) {
-                best = better(best, c, work, random, MISS_WEIGHT);
+                best = better(best, c, work, random, missWeight);
             }
         }
         return best;
@@ -107,12 +108,13 @@
         return null;
     }
 
-    private Choice any(Work work, Candidate[] from, PoolState pool, long nowMs, RandomGenerator random) {
+    private Choice any(
+            Work work, Candidate[] from, PoolState pool, double missWeight, long nowMs, RandomGenerator random) {
         int start = from.length == 0 ? 0 : random.nextInt(from.length);
         for (int i = 0; i < from.length; i++) {
             Candidate c = from[(start + i) % from.length];
             if (open(c, work, pool, nowMs)) {
-                return better(Choice.NONE, c, work, random, MISS_WEIGHT);
+                return better(Choice.NONE, c, work, random, missWeight);
             }
         }
         return Choice.NONE;
@@ -124,7 +126,8 @@
         }
         double uncached = uncached(work, c.state);
         double firstToken = c.firstTokenMs(uncached);
-        double whole = firstToken + DECODE_WEIGHT * c.decodeMs() + missWeight * c.prefillMs(uncached);
+        double away = missWeight * uncached + (missWeight > 0 ? COPY_WEIGHT * work.promptTokens() : 0);
+        double whole = firstToken + DECODE_WEIGHT * c.decodeMs() + c.prefillMs(away);
         double score = whole * (1 + tuning.jitter() * random.nextDouble());
         return score < best.score ? new Choice(c, firstToken, score) : best;
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/DefaultWeightedPolicy.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/DefaultWeightedPolicy.java
@@ -26,6 +26,8 @@
 public final class DefaultWeightedPolicy implements WeightedPolicy {
     private static final long MIN_RETRY_MS = 200;
     private static final long MAX_RETRY_MS = 30_000;
+    private static final double MISS_WEIGHT = 2;
+    private static final double COST_MISS_WEIGHT = 6;
     private static final int MAX_NUMBER = 1 << 14;
 
     private final Tuning tuning;
@@ -59,13 +61,14 @@
         }
         PoolState pool = pool(work.pool());
         Snapshot now = snapshot(fleet, nowMs);
-        Chooser.Choice choice = chooser.choose(work, now.candidates(work.pool(), work.model()), pool, nowMs, random);
+        Chooser.Choice choice =
+                chooser.choose(work, now.candidates(work.pool(), work.model()), pool, missWeight(note), nowMs, random);
         double target = Math.max(1, note.weights().firstTokenTargetMs());
         if (!work.forwarded()) {
             pool.arrived(nowMs);
         }
         if (choice.found()) {
-            pool.observe(choice.firstTokenMs() / target, nowMs);
+            pool.observe((choice.firstTokenMs() + pool.queueWaitMs()) / target, nowMs);
         }
         if (work.forwarded()) {
             Optional<Refusal> refusal = refuseForwarded(work, note, pool, nowMs);
@@ -103,18 +106,22 @@
         PoolState pool = pool(id);
         double target = Math.max(1, note.weights().firstTokenTargetMs());
         double wait = 0;
-        double spare = 0;
         double capacity = 0;
         for (Candidate c : all.live) {
             wait += c.firstTokenMs(0);
-            spare += c.spareTokensPerSecond();
             capacity += c.tokensPerSecond();
         }
-        double load = all.live.length == 0 ? 1 : wait / all.live.length / target;
-        double offered = spill.sending(nowMs) ? 0 : spare - note.spill().remoteReserve() * capacity;
+        double load = all.live.length == 0 ? 1 : (wait / all.live.length + pool.queueWaitMs()) / target;
+        double spare = capacity * (1 - load - note.spill().remoteReserve());
+        double offered = spill.sending(nowMs) ? 0 : spare;
         return new Forecast(load, Math.max(0, offered), now.hitRate(id), pool.ejections.count(nowMs));
     }
 
+    @Override
+    public void queueWait(PoolId id, double waitMs) {
+        pool(id).queueWait(waitMs);
+    }
+
     @Override
     public void cacheEvent(ServerId server, long block, boolean stored, long nowMs) {
         ServerState state = servers.get(server);
@@ -164,12 +171,13 @@
             Chooser.Choice choice,
             long nowMs,
             RandomGenerator random) {
-        boolean refused = !choice.found() || nowMs + choice.firstTokenMs() > work.deadlineMs();
+        double wait = choice.firstTokenMs() + pool.queueWaitMs();
+        boolean refused = !choice.found() || nowMs + wait > work.deadlineMs();
         double prefillMs = choice.found()
                 ? choice.server().prefillMs(work.promptTokens())
                 : work.promptTokens() * Costs.PREFILL / Costs.DEFAULT_CAPACITY * Costs.MS_PER_SECOND;
         double tokens = pool.expectedOutput(work.maxTokens());
-        Spill.Local local = new Spill.Local(choice.firstTokenMs(), refused, prefillMs, tokens);
+        Spill.Local local = new Spill.Local(wait, refused, prefillMs, tokens);
         return spill.target(work, note, now, pool, local, nowMs, random);
     }
 
@@ -243,6 +251,13 @@
         return known != null ? known : pools.computeIfAbsent(id, p -> new PoolState());
     }
 
+    /** What a miss costs beyond its own wait, in times to read the prompt: more where cost is weighed more. */
+    private static double missWeight(ReleaseNote note) {
+        double cost = note.weights().cost();
+        double all = cost + note.weights().tail();
+        return all <= 0 ? MISS_WEIGHT : MISS_WEIGHT + COST_MISS_WEIGHT * cost / all;
+    }
+
     private static Placement refuse(RefusalType type, String message) {
         return new Placement.Refuse(Refusal.of(type, message, Fate.NOT_RUN));
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PoolState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PoolState.java
@@ -15,6 +15,7 @@
     private final AtomicLong windowFromMs = new AtomicLong();
     private volatile double load;
     private volatile long loadAtMs;
+    private volatile double queueWaitMs;
     private volatile boolean spilling;
     private volatile double outputShare = INITIAL_OUTPUT_SHARE;
 
@@ -31,6 +32,15 @@
         loadAtMs = nowMs;
     }
 
+    /** Time that requests wait at this instance before they are given to a server. */
+    double queueWaitMs() {
+        return queueWaitMs;
+    }
+
+    void queueWait(double ms) {
+        queueWaitMs = ms;
+    }
+
     /** Whether work is being sent away: on above the first bound, off below the second. */
     boolean spilling(double startAbove, double stopBelow) {
         double now = load;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ServedWork.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ServedWork.java
@@ -48,7 +48,7 @@
     public void firstToken(long nowMs) {
         if (prefilled.compareAndSet(false, true)) {
             state.own.add(-prefill, 0, 0, nowMs);
-            state.firstToken((double) (nowMs - startedAtMs), predictedMs);
+            state.firstToken((double) (nowMs - startedAtMs), predictedMs, nowMs);
         }
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ServerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ServerState.java
@@ -13,7 +13,8 @@
 final class ServerState {
     private static final double SLOWNESS_WEIGHT = 0.1;
     private static final double MIN_SLOWNESS = 0.5;
-    private static final double MAX_SLOWNESS = 4;
+    private static final double MAX_SLOWNESS = 2;
+    private static final double SLOWNESS_FADES_MS = 2_000;
     private static final double MIN_EXPECTED_MS = 20;
     private static final double CONFIDENCE_LOSS = 0.5;
     private static final double CONFIDENCE_GAIN = 0.02;
@@ -32,6 +33,7 @@
     private final AtomicLong insertedBlocks = new AtomicLong();
     private volatile double cacheBlocks = Double.POSITIVE_INFINITY;
     private volatile double slowness = 1;
+    private volatile long observedAtMs;
     private volatile double confidence = 1;
     private volatile boolean ramping = true;
     private volatile int slots = Integer.MAX_VALUE;
@@ -43,9 +45,10 @@
         this.number = number;
     }
 
-    /** Observed time to the first token over the predicted one. */
-    double slowness() {
-        return slowness;
+    /** Observed time to the first token over the predicted one; fades while there is nothing to observe. */
+    double slowness(long nowMs) {
+        double fade = Math.exp(-Math.max(0, nowMs - observedAtMs) / SLOWNESS_FADES_MS);
+        return 1 + (slowness - 1) * fade;
     }
 
     /** How far the believed content of its cache is trusted, 0 to 1. */
@@ -126,9 +129,11 @@
         ramping = true;
     }
 
-    void firstToken(double observedMs, double predictedMs) {
+    void firstToken(double observedMs, double predictedMs, long nowMs) {
         double ratio = (observedMs + MIN_EXPECTED_MS) / (predictedMs + MIN_EXPECTED_MS);
-        double next = slowness + SLOWNESS_WEIGHT * (Math.min(ratio, MAX_SLOWNESS) - slowness);
+        double old = slowness(nowMs);
+        double next = old + SLOWNESS_WEIGHT * (Math.min(ratio, MAX_SLOWNESS) - old);
+        observedAtMs = nowMs;
         slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, next));
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/placement/WeightedPolicy.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/placement/WeightedPolicy.java
@@ -39,6 +39,15 @@
      */
     Forecast forecast(PoolId pool, ReleaseNote note, FleetView fleet, long nowMs);
 
+    /**
+     * Notes how long requests wait at this instance before they are given to a server. It counts when work is to be
+     * sent away or taken from another region, and in the forecast.
+     *
+     * @param pool the pool
+     * @param waitMs milliseconds, as by {@link org.ibissaddle.admission.Admission#queueWaitMs}
+     */
+    void queueWait(PoolId pool, double waitMs);
+
     /**
      * Notes that a server published the storing or eviction of a prefix block.
      *
--- a/ibissaddle-core/src/test/java/org/ibissaddle/placement/WeightedPolicyTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/placement/WeightedPolicyTest.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -213,6 +214,22 @@
             assertThat(refusal.retryAtMs().orElseThrow()).isGreaterThan(NOW);
         }
 
+        @Test
+        void shouldForgetThatAServerWasSlowWhenNothingIsObserved() {
+            ServerView server = Fleets.server(Fleets.A, "a-s0", Health.LIVE, Fleets.load(NOW, 0, 0, 0, 0));
+            Work work = Fleets.work("r", Fleets.FREE);
+            double usual = policy.predictedWaitMs(work, note, inA(server), NOW);
+            for (int i = 0; i < 50; i++) {
+                PlacementPolicy.Running running = start(work, inA(server), "a-s0", NOW);
+                running.firstToken(NOW + 2_000);
+                running.ended(true, NOW + 2_000);
+            }
+            assertThat(policy.predictedWaitMs(work, note, inA(server), NOW + 2_000))
+                    .isGreaterThan(1.5 * usual);
+            assertThat(policy.predictedWaitMs(work, note, inA(server), NOW + 30_000))
+                    .isCloseTo(usual, within(1.0));
+        }
+
         @Test
         void shouldSendUnboundWorkToAnIdleRegionAndBoundWorkNowhere() {
             InstanceView idle = Fleets.instance(Fleets.B, "b-i", Health.LIVE, 0.1, 2_000);
