--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/placement/InstanceChoiceTest.java
@@ -0,0 +1,118 @@
+package org.ibissaddle.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.ibissaddle.fleet.FleetView;
+import org.ibissaddle.fleet.Health;
+import org.ibissaddle.fleet.InstanceView;
+import org.ibissaddle.id.WorkspaceId;
+import org.ibissaddle.note.ReleaseNote;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class InstanceChoiceTest {
+    private static final long NOW = Fleets.NOW;
+
+    private final ReleaseNote note = Fleets.note(Fleets.FREE, Fleets.BOUND);
+    private final Random random = new Random(3);
+
+    private static InstanceChoice.Ask ask(WorkspaceId workspace, OptionalLong prefix) {
+        return new InstanceChoice.Ask(workspace, Optional.empty(), prefix);
+    }
+
+    private static FleetView fleet(InstanceView... peers) {
+        return Fleets.fleet(Fleets.A, 0.2, List.of(peers), List.of());
+    }
+
+    private List<String> names(WorkspaceId workspace, FleetView fleet) {
+        return InstanceChoice.answer(ask(workspace, OptionalLong.empty()), note, fleet, NOW, random)
+                .instances()
+                .stream()
+                .map(instance -> instance.id().name())
+                .toList();
+    }
+
+    @Nested
+    class Telling {
+        @Test
+        void shouldNameOnlyInstancesOfTheHomeForABoundWorkspaceAndNoneForAnUnknownOne() {
+            FleetView fleet = fleet(Fleets.instance(Fleets.B, "b-i", Health.LIVE, 0, 9));
+            assertThat(names(Fleets.BOUND.id(), fleet)).containsExactly("a-i");
+            assertThat(names(Fleets.FREE.id(), fleet)).containsExactly("a-i", "b-i");
+            assertThat(names(new WorkspaceId("unknown"), fleet)).isEmpty();
+        }
+
+        @Test
+        void shouldNeverNameLeavingInstancesAndNameSuspectOnesLastForAShorterTime() {
+            FleetView fleet = fleet(
+                    Fleets.instance(Fleets.A, "a-leaving", Health.LEAVING, 0, 9),
+                    Fleets.instance(Fleets.A, "a-suspect", Health.SUSPECT, 0, 9),
+                    Fleets.instance(Fleets.B, "b-i", Health.LIVE, 0, 9));
+            assertThat(names(Fleets.FREE.id(), fleet)).containsExactly("a-i", "b-i", "a-suspect");
+            InstanceChoice.Ask ask = ask(Fleets.FREE.id(), OptionalLong.empty());
+            long whole = InstanceChoice.answer(ask, note, fleet(), NOW, random).validUntilMs();
+            assertThat(InstanceChoice.answer(ask, note, fleet, NOW, random).validUntilMs())
+                    .isGreaterThan(NOW)
+                    .isLessThan(whole);
+        }
+    }
+
+    @Nested
+    class Spreading {
+        private final FleetView fleet = fleet(
+                Fleets.instance(Fleets.A, "a-2", Health.LIVE, 0.2, 9),
+                Fleets.instance(Fleets.A, "a-3", Health.LIVE, 0.2, 9),
+                Fleets.instance(Fleets.A, "a-full", Health.LIVE, 1.4, 0));
+
+        @Test
+        void shouldNotSendAllCallersToOneInstance() {
+            Map<String, Integer> first = new HashMap<>();
+            for (int i = 0; i < 300; i++) {
+                first.merge(names(Fleets.FREE.id(), fleet).getFirst(), 1, Integer::sum);
+            }
+            assertThat(first).containsOnlyKeys("a-i", "a-2", "a-3");
+            assertThat(first.values()).allSatisfy(n -> assertThat(n).isBetween(60, 140));
+        }
+
+        @Test
+        void shouldKeepAPrefixAtOneInstanceWhoeverAnswers() {
+            List<String> firsts = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                InstanceChoice.Ask ask = ask(Fleets.FREE.id(), OptionalLong.of(77));
+                firsts.add(InstanceChoice.answer(ask, note, fleet, NOW, random)
+                        .instances()
+                        .getFirst()
+                        .id()
+                        .name());
+            }
+            assertThat(firsts).containsOnly(firsts.getFirst());
+        }
+    }
+
+    @Nested
+    class MovingCaches {
+        private static final double BYTES_PER_TOKEN = 100_000;
+        private static final double PREFILL = 8_000;
+
+        @Test
+        void shouldReadAgainOnAThinLinkAndMoveLongPrefixesOnAFastOne() {
+            assertThat(KvBreakEven.fromTokens(BYTES_PER_TOKEN, 12_500_000, 55, PREFILL))
+                    .isEmpty();
+            long from = KvBreakEven.fromTokens(BYTES_PER_TOKEN, 1_750_000_000, 55, PREFILL)
+                    .orElseThrow();
+            assertThat(KvBreakEven.transfer(from + 1, BYTES_PER_TOKEN, 1_750_000_000, 55, PREFILL, 1e9))
+                    .isTrue();
+            assertThat(KvBreakEven.transfer(from - 1, BYTES_PER_TOKEN, 1_750_000_000, 55, PREFILL, 1e9))
+                    .isFalse();
+            assertThat(KvBreakEven.transfer(from + 1, BYTES_PER_TOKEN, 1_750_000_000, 55, PREFILL, 1_000))
+                    .isFalse();
+        }
+    }
+}
