--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -87,8 +87,8 @@
         FleetView beliefs = firstBeliefs(settings, clock);
         Recorder recorder = new Recorder(origin(beliefs.self()), clock);
         SharedState state = new SharedState(beliefs, recorder);
-        RequestParts parts =
-                RequestParts.create(settings, state, Placements.weighted(Tuning.defaults()), clock, log, metrics);
+        RequestParts parts = RequestParts.create(
+                settings, state, Placements.weighted(Tuning.defaults()), recorder, clock, log, metrics);
         EngineClient platformClient = new EngineClient(SourceSocketFactory.from(settings.callerAddress()));
         CallerServer callers = CallerServer.start(settings.callerAddress(), settings.limits(), parts.path(), clock);
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -25,6 +25,7 @@
 import org.ibissaddle.daemon.stream.ModelContext;
 import org.ibissaddle.daemon.stream.StreamClaims;
 import org.ibissaddle.daemon.stream.StreamResumes;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.daemon.timeline.RecordingPolicy;
 import org.ibissaddle.dispatch.OnceLedger;
 import org.ibissaddle.dispatch.OnceLimits;
@@ -66,6 +67,7 @@
             Settings settings,
             SharedState state,
             WeightedPolicy weighted,
+            Recorder recorder,
             Clock clock,
             EventLog log,
             MetricRegistry metrics) {
@@ -75,7 +77,7 @@
         OnceLedger ledger = new OnceLedger(
                 settings.instance(), state.fleet().self().incarnation().orElseThrow(), OnceLimits.DEFAULT);
         AdmissionGate gate = new AdmissionGate(state, weighted, clock);
-        PlacementPolicy policy = new RecordingPolicy(new GatedPolicy(weighted, gate), state.recorder());
+        PlacementPolicy policy = new GatedPolicy(new RecordingPolicy(weighted, recorder), gate);
         RetryBudgets budgets = new RetryBudgets();
         StreamClient engines = new StreamClient(SourceSocketFactory.from(settings.callerAddress()));
         CrashWatch crashes = new CrashWatch(state, key, engines, clock, log);
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Deployment.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Deployment.java
@@ -21,6 +21,7 @@
 import org.ibissaddle.note.Workspace;
 
 /** The two deployments: three regions with 3, 3 and 2 engines, and their own links and weights. */
+@SuppressWarnings("ImmutableEnumChecker") // its records hold numbers only
 enum Deployment {
     COOPERATIVE(new Weights(0.4, 0.2, 0.4, 660, false), new SpillRules(true, 0.3, 0.6, 0.3, 0.1, 0.3), 12_500_000),
     STRATKA(new Weights(0.1, 0.8, 0.1, 660, false), new SpillRules(true, 0.5, 0.5, 0.3, 0.1, 0.5), 175_000_000);
