--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -86,7 +86,7 @@
         List<ControlRoutes> routes = new ArrayList<>(parts.peerRoutes());
         ControlPlane plane = ControlPlane.create(settings, state, clock, log);
         routes.add(plane.routes());
-        routes.add(new StatusRoute(settings, state, plane::noteStatus, parts.refusals(), parts.path()::open, clock));
+        routes.add(new StatusRoute(settings, state, parts.refusals(), parts.path()::open, clock));
         routes.add(new AskRoute(state, parts.desk(), clock));
         routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/StatusRoute.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/StatusRoute.java
@@ -7,7 +7,6 @@
 import io.jooby.MediaType;
 import java.util.Locale;
 import java.util.function.IntSupplier;
-import java.util.function.Supplier;
 import org.ibissaddle.daemon.caller.RefusalCounts;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
@@ -26,7 +25,6 @@
 
     private final Settings settings;
     private final SharedState state;
-    private final Supplier<NoteStatus> note;
     private final RefusalCounts refusals;
     private final IntSupplier openRequests;
     private final Clock clock;
@@ -36,21 +34,14 @@
      *
      * @param settings settings of the instance
      * @param state note and beliefs
-     * @param note what is known of the note
      * @param refusals what was refused
      * @param openRequests counts the requests that have not been answered
      * @param clock source of time
      */
     public StatusRoute(
-            Settings settings,
-            SharedState state,
-            Supplier<NoteStatus> note,
-            RefusalCounts refusals,
-            IntSupplier openRequests,
-            Clock clock) {
+            Settings settings, SharedState state, RefusalCounts refusals, IntSupplier openRequests, Clock clock) {
         this.settings = settings;
         this.state = state;
-        this.note = note;
         this.refusals = refusals;
         this.openRequests = openRequests;
         this.clock = clock;
