--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -16,6 +16,7 @@
         all.add(new NoteDiffCommand());
         all.add(new StatusCommand());
         all.add(new LoadCommand());
+        all.add(new OverheadCommand());
         all.add(new DemoCommand());
         all.add(new TimelineCommand());
         all.addAll(StandinCommands.all());
