--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/Judgement.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/Judgement.java
@@ -17,40 +17,46 @@
  */
 record Judgement(boolean refused, int crashes, long latestMs) {
     /**
-     * Judges all marked requests. A request that was marked before and then was in flight alone at a crash is refused;
-     * its crashes are explained and no longer count against others. So is one that is left with too many crashes.
+     * Judges all marked requests. A request that was marked before and then was in flight alone at a crash is refused,
+     * and so is one with too many crashes. A crash of a refused request no longer counts against requests with fewer.
      */
     static Map<Fingerprint, Judgement> of(Collection<Mark> marks, int maxCrashes) {
         Map<Crash, List<Mark>> byCrash = new HashMap<>();
-        marks.forEach(mark -> byCrash.computeIfAbsent(mark.crash(), crash -> new ArrayList<>())
-                .add(mark));
-        Set<Fingerprint> refused = new HashSet<>();
+        Map<Fingerprint, List<Mark>> byRequest = new HashMap<>();
+        for (Mark mark : marks) {
+            byCrash.computeIfAbsent(mark.crash(), crash -> new ArrayList<>()).add(mark);
+            byRequest
+                    .computeIfAbsent(mark.request(), request -> new ArrayList<>())
+                    .add(mark);
+        }
+        Map<Crash, Integer> explained = new HashMap<>();
+        Set<Fingerprint> alone = new HashSet<>();
         for (List<Mark> atCrash : byCrash.values()) {
             if (atCrash.size() == 1 && atCrash.get(0).suspect()) {
-                refused.add(atCrash.get(0).request());
+                alone.add(atCrash.get(0).request());
             }
         }
-        Map<Fingerprint, List<Mark>> byRequest = unexplained(marks, refused);
         byRequest.forEach((request, own) -> {
+            if (alone.contains(request) || own.size() >= maxCrashes) {
+                own.forEach(mark -> explained.merge(mark.crash(), own.size(), Math::max));
+            }
+        });
+        Map<Fingerprint, List<Mark>> counted = new HashMap<>();
+        byRequest.forEach((request, own) -> {
+            List<Mark> left = own.stream()
+                    .filter(mark -> alone.contains(request) || explained.getOrDefault(mark.crash(), 0) <= own.size())
+                    .toList();
+            if (!left.isEmpty()) {
+                counted.put(request, left);
+            }
+        });
+        Set<Fingerprint> refused = new HashSet<>(alone);
+        counted.forEach((request, own) -> {
             if (own.size() >= maxCrashes) {
                 refused.add(request);
             }
         });
-        return judge(unexplained(marks, refused), refused);
-    }
-
-    private static Map<Fingerprint, List<Mark>> unexplained(Collection<Mark> marks, Set<Fingerprint> refused) {
-        Set<Crash> explained = new HashSet<>();
-        marks.stream().filter(mark -> refused.contains(mark.request())).forEach(mark -> explained.add(mark.crash()));
-        Map<Fingerprint, List<Mark>> byRequest = new HashMap<>();
-        for (Mark mark : marks) {
-            if (refused.contains(mark.request()) || !explained.contains(mark.crash())) {
-                byRequest
-                        .computeIfAbsent(mark.request(), request -> new ArrayList<>())
-                        .add(mark);
-            }
-        }
-        return byRequest;
+        return judge(counted, refused);
     }
 
     private static Map<Fingerprint, Judgement> judge(Map<Fingerprint, List<Mark>> byRequest, Set<Fingerprint> refused) {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/stream/StreamRecovery.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/stream/StreamRecovery.java
@@ -69,6 +69,8 @@
      */
     public Recovery afterLoss(ServerId server, long nowMs) {
         lost.add(server);
+        idleResumes = 0;
+        relayedAtResume = -1;
         if (nowMs >= deadlineMs) {
             return fail("the deadline passed before the answer was complete");
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/EngineClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import javax.net.SocketFactory;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
@@ -22,13 +23,18 @@
 
     private final OkHttpClient http;
 
-    /** Creates a client with a connection pool of its own. */
-    public EngineClient() {
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param sockets creates its sockets
+     */
+    public EngineClient(SocketFactory sockets) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         http = new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
+                .socketFactory(sockets)
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS))
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import javax.net.SocketFactory;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Interceptor;
@@ -39,8 +40,9 @@
 
     private final OkHttpClient http;
 
-    private ServiceClient(ConnectionPool pool) {
+    private ServiceClient(SocketFactory sockets, ConnectionPool pool) {
         http = new OkHttpClient.Builder()
+                .socketFactory(sockets)
                 .connectionPool(pool)
                 .protocols(List.of(Protocol.HTTP_1_1))
                 .retryOnConnectionFailure(false)
@@ -56,19 +58,21 @@
     /**
      * Makes a client that opens a connection for each call, so that no call meets one that the service is closing.
      *
+     * @param sockets creates its sockets
      * @return the client for calls that run at most once
      */
-    public static ServiceClient withFreshConnections() {
-        return new ServiceClient(new ConnectionPool(0, 1, TimeUnit.MILLISECONDS));
+    public static ServiceClient withFreshConnections(SocketFactory sockets) {
+        return new ServiceClient(sockets, new ConnectionPool(0, 1, TimeUnit.MILLISECONDS));
     }
 
     /**
      * Makes a client that keeps connections.
      *
+     * @param sockets creates its sockets
      * @return the client for repeatable calls
      */
-    public static ServiceClient withKeptConnections() {
-        return new ServiceClient(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS));
+    public static ServiceClient withKeptConnections(SocketFactory sockets) {
+        return new ServiceClient(sockets, new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_MS, TimeUnit.MILLISECONDS));
     }
 
     /** Last check before the first byte is written, when the connection stands. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import javax.net.SocketFactory;
 import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
@@ -40,12 +41,17 @@
     private final OkHttpClient streaming;
     private final OkHttpClient fresh;
 
-    /** Creates a client with a connection pool of its own. */
-    public StreamClient() {
+    /**
+     * Creates a client with a connection pool of its own.
+     *
+     * @param sockets creates its sockets
+     */
+    public StreamClient(SocketFactory sockets) {
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(MAX_CALLS);
         dispatcher.setMaxRequestsPerHost(MAX_CALLS);
         whole = new OkHttpClient.Builder()
+                .socketFactory(sockets)
                 .dispatcher(dispatcher)
                 .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_CONNECTION_MS, TimeUnit.MILLISECONDS))
                 .protocols(List.of(Protocol.HTTP_1_1))
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
@@ -18,9 +18,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.ibissaddle.outcome.Fate;
 
 /** A reply over a Netty channel, with at most one write buffer's worth of pieces waiting. */
 final class NettyReply implements CallerReply {
+    private static final String RAN = "x-ran";
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final Channel channel;
     private final BooleanSupplier mayKeep;
     private final Runnable whenEnded;
@@ -44,6 +48,7 @@
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
         headers.forEach((name, value) -> response.headers().set(name, value));
+        setRan(response);
         HttpUtil.setContentLength(response, body.length);
         setConnection(response);
         finish(channel.writeAndFlush(response));
@@ -55,6 +60,7 @@
         started = true;
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         headers.forEach((name, value) -> response.headers().set(name, value));
+        setRan(response);
         HttpUtil.setTransferEncodingChunked(response, true);
         setConnection(response);
         channel.writeAndFlush(response);
@@ -126,6 +132,13 @@
         });
     }
 
+    private static void setRan(HttpResponse response) {
+        boolean answered = response.status().code() < FIRST_ERROR_STATUS;
+        if (answered && !response.headers().contains(RAN)) {
+            response.headers().set(RAN, Fate.RAN.word());
+        }
+    }
+
     private void setConnection(HttpResponse response) {
         keepAlive = mayKeep.getAsBoolean();
         if (!keepAlive) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/StatusRoute.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/control/StatusRoute.java
@@ -1,31 +1,47 @@
 package org.ibissaddle.daemon.control;
 
+import com.codahale.metrics.Meter;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.jooby.Jooby;
 import io.jooby.MediaType;
+import java.util.function.IntSupplier;
+import org.ibissaddle.daemon.caller.RefusalCounts;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.fleet.ServerView;
+import org.ibissaddle.outcome.RefusalType;
+import org.ibissaddle.port.Clock;
 
 /** Adds {@code GET /status}: what the instance believes, for operators. */
 public final class StatusRoute implements ControlRoutes {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int SECONDS_PER_MINUTE = 60;
 
     private final Settings settings;
     private final SharedState state;
+    private final RefusalCounts refusals;
+    private final IntSupplier openRequests;
+    private final Clock clock;
 
     /**
      * Creates the route.
      *
      * @param settings settings of the instance
      * @param state note and beliefs
+     * @param refusals what was refused
+     * @param openRequests counts the requests that have not been answered
+     * @param clock source of time
      */
-    public StatusRoute(Settings settings, SharedState state) {
+    public StatusRoute(
+            Settings settings, SharedState state, RefusalCounts refusals, IntSupplier openRequests, Clock clock) {
         this.settings = settings;
         this.state = state;
+        this.refusals = refusals;
+        this.openRequests = openRequests;
+        this.clock = clock;
     }
 
     @Override
@@ -46,12 +62,16 @@
                 .ifPresent(note ->
                         root.putObject("note").put("number", note.number()).put("digest", note.digest()));
         FleetView fleet = state.fleet();
+        root.put("now_ms", clock.nowMs());
+        root.put("open_requests", openRequests.getAsInt());
         root.put("refreshed_at_ms", fleet.refreshedAtMs());
         fleet.self().incarnation().ifPresent(value -> root.put("incarnation", value.toString()));
         var peers = root.putArray("peers");
         fleet.peers().forEach(peer -> addPeer(peers.addObject(), peer));
         var servers = root.putArray("servers");
         fleet.servers().forEach(server -> addServer(servers.addObject(), server));
+        var refused = root.putArray("refusals");
+        refusals.meters().forEach((type, meter) -> addRefusals(refused.addObject(), type, meter));
         return root;
     }
 
@@ -59,10 +79,18 @@
         json.put("name", peer.id().name());
         json.put("region", peer.region().name());
         json.put("zone", peer.zone().name());
+        json.put("control_address", peer.controlAddress().toString());
         json.put("health", peer.health().name());
         json.put("load", peer.load());
     }
 
+    private void addRefusals(ObjectNode json, RefusalType type, Meter meter) {
+        json.put("type", type.word());
+        json.put("total", meter.getCount());
+        json.put("per_minute", meter.getOneMinuteRate() * SECONDS_PER_MINUTE);
+        json.put("message", refusals.lastMessage(type).orElse(""));
+    }
+
     private static void addServer(ObjectNode json, ServerView server) {
         json.put("name", server.id().name());
         json.put("pool", server.pool().name());
@@ -70,5 +98,7 @@
         json.put("health", server.health().name());
         json.put("running", server.load().running());
         json.put("queued", server.load().queued());
+        var models = json.putArray("models");
+        server.models().stream().sorted().forEach(model -> models.add(model.toString()));
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/OnceCalls.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/OnceCalls.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.daemon.once;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutionException;
@@ -62,7 +63,8 @@
         }
         try {
             Ticket ticket = read(text.get(), request, workspace);
-            ServiceCall call = new ServiceCall(request, workspace, ticket.pool(), ticket.key(), ticket.deadlineMs());
+            ServiceCall call =
+                    new ServiceCall(request, workspace, ticket.pool(), ticket.key(), ticket.deadlineMs(), List.of());
             outcomes.tell(outcome(ticket, call), reply);
         } catch (TicketException e) {
             Fate fate = e.reason() == TicketException.Reason.MALFORMED ? Fate.NOT_RUN : Fate.UNKNOWN;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/OwnerForward.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/OwnerForward.java
@@ -14,7 +14,9 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.ibissaddle.daemon.backend.ServiceRequest;
+import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.path.Headers;
+import org.ibissaddle.daemon.path.Hops;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.dispatch.Answer;
@@ -36,16 +38,18 @@
     private final Settings settings;
     private final SharedState state;
     private final Clock clock;
-    private final OkHttpClient http = new OkHttpClient.Builder()
-            .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-            .readTimeout(0, TimeUnit.MILLISECONDS)
-            .followRedirects(false)
-            .build();
+    private final OkHttpClient http;
 
     OwnerForward(Settings settings, SharedState state, Clock clock) {
         this.settings = settings;
         this.state = state;
         this.clock = clock;
+        http = new OkHttpClient.Builder()
+                .socketFactory(SourceSocketFactory.from(settings.callerAddress()))
+                .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .readTimeout(0, TimeUnit.MILLISECONDS)
+                .followRedirects(false)
+                .build();
     }
 
     /** Asks the owner; a call that was forwarded already is not forwarded again. */
@@ -72,7 +76,8 @@
     }
 
     private Request request(InstanceView owner, ServiceCall call) {
-        ServiceRequest inner = call.toInstance(settings.instance() + ";" + settings.region());
+        ServiceRequest inner =
+                call.toInstance(Hops.of(settings), state.recorder().send());
         boolean bodiless = inner.method().equals("GET") || inner.method().equals("HEAD");
         String type = inner.headers().getOrDefault("Content-Type", "application/octet-stream");
         Request.Builder built = new Request.Builder()
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/PlainServices.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/PlainServices.java
@@ -5,6 +5,7 @@
 import org.ibissaddle.daemon.caller.CallerReply;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.log.EventLog;
+import org.ibissaddle.daemon.path.Hops;
 import org.ibissaddle.daemon.path.RequestFields;
 import org.ibissaddle.daemon.path.RetryBudgets;
 import org.ibissaddle.daemon.path.ServiceCalls;
@@ -72,7 +73,8 @@
         }
         long deadlineMs = RequestFields.deadlineMs(request, settings.limits().defaultDeadlineMs());
         String key = UUID.randomUUID().toString();
-        ServiceCall call = new ServiceCall(request, workspace, route.pool(), key, deadlineMs);
+        ServiceCall call = new ServiceCall(
+                request, workspace, route.pool(), key, deadlineMs, Hops.visited(request.head(), settings.region()));
         outcomes.tell(dispatcher.repeatable(call), reply);
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceCall.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceCall.java
@@ -8,10 +8,13 @@
 import org.ibissaddle.daemon.backend.ServiceRequest;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.path.Headers;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.note.Workspace;
 import org.ibissaddle.placement.Work;
+import org.ibissaddle.timeline.Stamp;
 
 /**
  * A call of a plain service.
@@ -21,8 +24,10 @@
  * @param pool pool that serves it
  * @param key idempotency key that the service is given
  * @param deadlineMs when the call is over, epoch milliseconds
+ * @param visited regions that sent it on before
  */
-record ServiceCall(CallerRequest request, Workspace workspace, PoolId pool, String key, long deadlineMs) {
+record ServiceCall(
+        CallerRequest request, Workspace workspace, PoolId pool, String key, long deadlineMs, List<Region> visited) {
     private static final List<String> PASSED = List.of("Content-Type", "Accept");
 
     /** What placement needs to know. */
@@ -38,7 +43,7 @@
                 0,
                 List.of(),
                 tried,
-                request.head().header(Headers.HOP).isPresent());
+                visited);
     }
 
     /** What a server is sent. */
@@ -52,9 +57,10 @@
     }
 
     /** What another instance is sent. */
-    ServiceRequest toInstance(String hop) {
+    ServiceRequest toInstance(String hop, Stamp stamp) {
         Map<String, String> headers = passed();
         headers.put(Headers.HOP, hop);
+        headers.put(Recorder.HEADER, stamp.toString());
         headers.put(Headers.DEADLINE, Long.toString(deadlineMs));
         request.head().header(Headers.TICKET).ifPresent(ticket -> headers.put(Headers.TICKET, ticket));
         return built(headers);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.ibissaddle.daemon.backend.ServiceClient;
+import org.ibissaddle.daemon.backend.SourceSocketFactory;
+import org.ibissaddle.daemon.path.Hops;
 import org.ibissaddle.daemon.path.RetryBudgets;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
@@ -32,8 +34,8 @@
     private final PlacementPolicy policy;
     private final RetryBudgets budgets;
     private final Clock clock;
-    private final ServiceClient fresh = ServiceClient.withFreshConnections();
-    private final ServiceClient kept = ServiceClient.withKeptConnections();
+    private final ServiceClient fresh;
+    private final ServiceClient kept;
 
     ServiceDispatcher(Settings settings, SharedState state, PlacementPolicy policy, RetryBudgets budgets, Clock clock) {
         this.settings = settings;
@@ -41,6 +43,9 @@
         this.policy = policy;
         this.budgets = budgets;
         this.clock = clock;
+        SourceSocketFactory sockets = SourceSocketFactory.from(settings.callerAddress());
+        fresh = ServiceClient.withFreshConnections(sockets);
+        kept = ServiceClient.withKeptConnections(sockets);
     }
 
     /** Runs a call that may run more than once. */
@@ -108,7 +113,7 @@
         return kept.send(
                 new ServerId(peer.id().name()),
                 peer.callerAddress(),
-                call.toInstance(settings.instance() + ";" + settings.region()),
+                call.toInstance(Hops.of(settings), state.recorder().send()),
                 Optional::empty,
                 call.deadlineMs() - clock.nowMs());
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/CrashWatch.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/CrashWatch.java
@@ -17,6 +17,7 @@
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.path.Headers;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.dispatch.Evidence;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.fleet.ServerView;
 import org.ibissaddle.id.Incarnation;
@@ -37,10 +38,11 @@
 public final class CrashWatch implements ControlRoutes {
     private static final String PATH = "/peer/suspicions";
     private static final String PURPOSE = "suspicions";
+    private static final int OK = 200;
     private static final long KEEP_MS = 600_000;
     private static final int MAX_MARKS = 10_000;
     private static final int MAX_CRASHES = 3;
-    private static final long TELL_MS = 500;
+    private static final long TELL_MS = 1_000;
     private static final ObjectMapper JSON = new ObjectMapper().registerModule(new Jdk8Module());
 
     private final SharedState state;
@@ -154,11 +156,15 @@
     }
 
     private void send(InstanceView peer, Map<String, String> headers, byte[] body) {
-        client.fetch(
+        StreamClient.Opened.Failed heard = client.fetch(
                 new ServerId(peer.id().name()),
                 StreamClient.post(peer.controlAddress(), PATH, headers, body),
                 TELL_MS,
                 call -> {});
+        if (!(heard.evidence() instanceof Evidence.Answered answered)
+                || answered.answer().status() != OK) {
+            log.warning("marks-not-told", "peer", peer.id());
+        }
     }
 
     private static byte[] encode(Suspicions news) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamResumes.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamResumes.java
@@ -131,7 +131,7 @@
                     0,
                     java.util.List.of(),
                     java.util.Set.of(),
-                    true);
+                    java.util.List.of());
             this.guard = AnswerGuard.resumed(token.request(), token.attempt(), token.offset());
         }
 
@@ -173,7 +173,8 @@
         }
 
         private Request request(long offset) {
-            EngineRequests requests = new EngineRequests(context.settings(), work, PATH, new byte[0]);
+            EngineRequests requests =
+                    new EngineRequests(context.settings(), context.state().recorder(), work, PATH, new byte[0]);
             return requests.resume(target, offset, lastId.or(() -> Optional.of(text)));
         }
 
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/Cluster.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/Cluster.java
@@ -281,6 +281,36 @@
         return engines;
     }
 
+    /** Makes a repeatable call. */
+    boolean call(String name, String path) {
+        Request request = new Request.Builder()
+                .url(caller(name) + path)
+                .header("X-Workspace", "w")
+                .header("Connection", "close")
+                .build();
+        try (Response response = http.newCall(request).execute()) {
+            return response.code() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Bytes of live objects of an instance, after a full collection. */
+    long liveBytes(String name) throws IOException, InterruptedException {
+        String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+        Process histogram = new ProcessBuilder(
+                        jcmd, Long.toString(processes.get(name).pid()), "GC.class_histogram")
+                .redirectErrorStream(true)
+                .start();
+        String text = new String(histogram.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        histogram.waitFor();
+        String total = text.lines()
+                .filter(line -> line.startsWith("Total"))
+                .findFirst()
+                .orElseThrow();
+        return Long.parseLong(total.trim().split(" +", -1)[2]);
+    }
+
     /** How often each key has arrived at any service. */
     Map<String, Integer> arrivals() {
         Map<String, Integer> all = new TreeMap<>();
