--- a/ibissaddle-core/src/test/java/org/ibissaddle/stream/AnswerGuardTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/stream/AnswerGuardTest.java
@@ -93,6 +93,15 @@
             assertThat(recovery.afterLoss(server, 0)).isInstanceOf(Recovery.Fail.class);
         }
 
+        @Test
+        void shouldResumeAtTheNextServerTooBeforeItIsGivenUp() {
+            for (int i = 0; i <= StreamRecovery.MAX_IDLE_RESUMES; i++) {
+                recovery.afterCut(server, 0);
+            }
+            ServerId next = new ServerId("t");
+            assertThat(recovery.afterCut(next, 0)).isEqualTo(new Recovery.Resume(next, 0));
+        }
+
         @Test
         void shouldRestartWhenNothingWasRelayed() {
             assertThat(recovery.afterLoss(server, 0)).isInstanceOf(Recovery.Restart.class);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
@@ -33,5 +33,7 @@
      *
      * @return whether the instance is leaving
      */
-    boolean leaving();
+    default boolean leaving() {
+        return false;
+    }
 }
