--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/ServerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/ServerTable.java
@@ -26,7 +26,7 @@
     private static final int FINE_SERVERS = 64;
     private static final int FEW_SERVERS = 16;
     private static final long POLL_MS = 2_000;
-    private static final long FEW_POLL_MS = 500;
+    private static final long FEW_POLL_MS = 800;
 
     private final Self self;
     private final Map<ServerId, Server> servers = new TreeMap<>();
--- /dev/null
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/LeavingServerTest.java
@@ -0,0 +1,90 @@
+package org.ibissaddle.proof;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.util.List;
+import org.ibissaddle.cli.deployment.DeploymentSpec;
+import org.ibissaddle.proof.harness.Http;
+import org.ibissaddle.proof.harness.TestFleet;
+import org.ibissaddle.proof.harness.Wait;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Backend servers that leave, and instances that are paused or cut off, as real processes. */
+class LeavingServerTest {
+    private final Http http = new Http();
+    private TestFleet fleet;
+
+    @BeforeEach
+    void startFleet() throws Exception {
+        fleet = TestFleet.start(DeploymentSpec.cooperative(), TestFleet.exampleNote("cooperative"));
+    }
+
+    @AfterEach
+    void stopFleet() {
+        fleet.close();
+    }
+
+    private String health(String instance, String server) throws Exception {
+        JsonNode status = Http.json(http.get(fleet.control(instance), "/status").body());
+        for (JsonNode one : status.path("servers")) {
+            if (one.path("name").asText().equals(server)) {
+                return one.path("health").asText();
+            }
+        }
+        return "";
+    }
+
+    private List<String> instancesThatSee(String server) {
+        return fleet.instances().stream().filter(name -> sees(name, server)).toList();
+    }
+
+    private boolean sees(String instance, String server) {
+        try {
+            return !health(instance, server).isEmpty();
+        } catch (Exception e) {
+            return false;
+        }
+    }
+
+    @Test
+    void shouldLearnFromTheServerThoughTheListSaysLive() throws Exception {
+        String server = fleet.engines().keySet().iterator().next();
+        List<String> names = instancesThatSee(server);
+        assertThat(names).isNotEmpty();
+        fleet.engines()
+                .get(server)
+                .setFaults(fleet.engines().get(server).faults().withDrain(true));
+
+        Wait.until("everybody knows that it leaves", () -> {
+            for (String name : names) {
+                if (!health(name, server).equals("LEAVING")) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    @Test
+    void shouldNotDispatchOnOldBeliefsAfterAPause() throws Exception {
+        String server = fleet.engines().keySet().iterator().next();
+        String name = instancesThatSee(server).getFirst();
+        fleet.process(name).pause();
+        fleet.engines()
+                .get(server)
+                .setFaults(fleet.engines().get(server).faults().withDrain(true));
+        Thread.sleep(4_000);
+        long before = fleet.engines().get(server).stats().requests();
+        fleet.process(name).resume();
+        HttpResponse<String> answer = http.chat(fleet.caller(name), "members", "inspector", "after the pause", 5, true);
+
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(fleet.engines().get(server).stats().requests()).isEqualTo(before);
+
+        Wait.until("it knows that the server leaves", () -> health(name, server).equals("LEAVING"));
+    }
+}
