--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Chooser.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Chooser.java
@@ -9,7 +9,9 @@
 final class Chooser {
     private static final int MAX_HOLDERS = 4;
     private static final double DECODE_WEIGHT = 0.1;
-    private static final double OWNER_BONUS = 0.25;
+    /** What serving a prompt away from its owner costs even on a hit, in times to read it: it keeps a second copy. */
+    private static final double COPY_WEIGHT = 0.3;
+
     private static final int DRAWS = 4;
 
     private final Tuning tuning;
@@ -36,16 +38,16 @@
     }
 
     /** Chooses a server; suspect ones only when no other is left. */
-    Choice choose(Work work, Candidates all, PoolState pool, long nowMs, RandomGenerator random) {
-        Choice best = holders(work, all, pool, nowMs, random);
+    Choice choose(Work work, Candidates all, PoolState pool, double missWeight, long nowMs, RandomGenerator random) {
+        Choice best = holders(work, all, pool, missWeight, nowMs, random);
         best = owner(work, all, pool, best, nowMs, random);
         for (int i = 0; i < tuning.samples(); i++) {
-            best = better(best, draw(work, all.live, pool, nowMs, random), work, random, 0);
+            best = better(best, draw(work, all.live, pool, nowMs, random), work, random, missWeight);
         }
         if (!best.found()) {
-            best = any(work, all.live, pool, nowMs, random);
+            best = any(work, all.live, pool, missWeight, nowMs, random);
         }
-        return best.found() ? best : any(work, all.suspect, pool, nowMs, random);
+        return best.found() ? best : any(work, all.suspect, pool, missWeight, nowMs, random);
     }
 
     /** Predicted wait on the best server, infinite when there is none. */
@@ -65,12 +67,13 @@
         if (chain.isEmpty()) {
             return work.promptTokens();
         }
-        int hit = prefixes.match(chain, state.number);
+        int hit = prefixes.match(chain, state);
         double share = (double) hit / chain.size() * state.confidence();
         return work.promptTokens() * (1 - share);
     }
 
-    private Choice holders(Work work, Candidates all, PoolState pool, long nowMs, RandomGenerator random) {
+    private Choice holders(
+            Work work, Candidates all, PoolState pool, double missWeight, long nowMs, RandomGenerator random) {
         Choice best = Choice.NONE;
         if (work.prefix().isEmpty()) {
             return best;
@@ -80,7 +83,7 @@
         for (int i = 0; i < n; i++) {
             Candidate c = all.numbered(numbers[i]);
             if (c != null && open(c, work, pool, nowMs)) {
-                best = better(best, c, work, random, 0);
+                best = better(best, c, work, random, missWeight);
             }
         }
         return best;
@@ -92,7 +95,7 @@
         }
         Candidate owner = all.owner(PrefixIndex.mix(work.prefix().getFirst()));
         boolean usable = owner != null && open(owner, work, pool, nowMs);
-        return usable ? better(best, owner, work, random, OWNER_BONUS) : best;
+        return usable ? better(best, owner, work, random, 0) : best;
     }
 
     private Candidate draw(Work work, Candidate[] from, PoolState pool, long nowMs, RandomGenerator random) {
@@ -105,24 +108,26 @@
         return null;
     }
 
-    private Choice any(Work work, Candidate[] from, PoolState pool, long nowMs, RandomGenerator random) {
+    private Choice any(
+            Work work, Candidate[] from, PoolState pool, double missWeight, long nowMs, RandomGenerator random) {
         int start = from.length == 0 ? 0 : random.nextInt(from.length);
         for (int i = 0; i < from.length; i++) {
             Candidate c = from[(start + i) % from.length];
             if (open(c, work, pool, nowMs)) {
-                return better(Choice.NONE, c, work, random, 0);
+                return better(Choice.NONE, c, work, random, missWeight);
             }
         }
         return Choice.NONE;
     }
 
-    private Choice better(Choice best, Candidate c, Work work, RandomGenerator random, double bonus) {
+    private Choice better(Choice best, Candidate c, Work work, RandomGenerator random, double missWeight) {
         if (c == null) {
             return best;
         }
         double uncached = uncached(work, c.state);
         double firstToken = c.firstTokenMs(uncached);
-        double whole = firstToken + DECODE_WEIGHT * c.decodeMs() - bonus * c.prefillMs(uncached);
+        double away = missWeight * uncached + (missWeight > 0 ? COPY_WEIGHT * work.promptTokens() : 0);
+        double whole = firstToken + DECODE_WEIGHT * c.decodeMs() + c.prefillMs(away);
         double score = whole * (1 + tuning.jitter() * random.nextDouble());
         return score < best.score ? new Choice(c, firstToken, score) : best;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -37,7 +37,8 @@
  * }</pre>
  */
 public final class Daemon implements AutoCloseable {
-    private static final long ANSWERS_VALID_MS = AskRoute.ANSWER_VALID_MS + 1_000;
+    private static final long PEERS_LEARN_MS = 5_000;
+    private static final long ANSWERS_VALID_MS = AskRoute.ANSWER_VALID_MS + PEERS_LEARN_MS;
     private static final long DRAIN_POLL_MS = 50;
 
     private final SharedState state;
@@ -89,6 +90,8 @@
         routes.add(new AskRoute(state, parts.desk(), clock));
         routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
+        state.observations().listen(plane::unreachable, plane::leaving);
+        parts.reportLoad(plane::estimated);
         plane.start();
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
         return new Daemon(state, parts, callers, control, plane, clock, log);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
@@ -143,8 +143,10 @@
     private void serve(ChannelHandlerContext ctx) {
         state = State.REPLY;
         bodyTimer.cancel(false);
-        CallerRequest request = new CallerRequest(requestHead(head), body.whole(), arrivedAtMs);
-        NettyReply reply = new NettyReply(ctx.channel(), HttpUtil.isKeepAlive(head), () -> next(ctx));
+        HttpRequest asked = head;
+        CallerRequest request = new CallerRequest(requestHead(asked), body.whole(), arrivedAtMs);
+        NettyReply reply =
+                new NettyReply(ctx.channel(), () -> HttpUtil.isKeepAlive(asked) && !service.leaving(), () -> next(ctx));
         current = reply;
         BodyCollector held = body;
         body = null;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/state/SharedState.java
@@ -16,6 +16,7 @@
     private final AtomicReference<FleetView> fleet;
     private final AtomicBoolean draining = new AtomicBoolean();
     private final Recorder recorder;
+    private final ServerObservations observations = new ServerObservations();
 
     /**
      * Starts without a note.
@@ -28,6 +29,15 @@
         this.recorder = recorder;
     }
 
+    /**
+     * Returns where requests report what they see of backend servers.
+     *
+     * @return the observations
+     */
+    public ServerObservations observations() {
+        return observations;
+    }
+
     /**
      * Returns the recorder of events.
      *
