--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/DemoCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/DemoCommand.java
@@ -8,6 +8,9 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
@@ -20,8 +23,11 @@
 import org.ibissaddle.cli.call.GatewayCaller;
 import org.ibissaddle.cli.deployment.DeploymentSpec;
 import org.ibissaddle.cli.deployment.EmbeddedDeployment;
+import org.ibissaddle.cli.timeline.TimelineCollector;
+import org.ibissaddle.cli.timeline.TimelinePage;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.standins.AnswerText;
+import org.ibissaddle.timeline.Timeline;
 
 /** Runs a deployment in one process and sends sample requests. */
 final class DemoCommand implements Command {
@@ -71,6 +77,7 @@
                 waitUntilReady(control);
             }
             int code = new Requests(deployment.controls().get(0), caller, out).sendAll();
+            out.println("time line of all instances: " + writeTimeline(deployment.controls()));
             if (line.hasOption("stay")) {
                 out.println("running on; control addresses: " + deployment.controls());
                 new CountDownLatch(1).await();
@@ -84,6 +91,12 @@
         }
     }
 
+    private static Path writeTimeline(List<Address> controls) throws IOException {
+        Timeline timeline = new TimelineCollector().collect(controls);
+        Path page = Files.createTempFile("ibissaddle-timeline-", ".html");
+        return Files.writeString(page, TimelinePage.write(timeline, Optional.empty()));
+    }
+
     private void waitUntilReady(Address control) throws IOException, InterruptedException {
         for (int i = 0; i < READY_TRIES; i++) {
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + control + "/ready"))
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/load/Overhead.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/load/Overhead.java
@@ -27,7 +27,6 @@
     private static final double MICROS_PER_MS = 1000.0;
     private static final double P50 = 50;
     private static final double P99 = 99;
-    private static final int PROMPT_REPEATS = 40;
     private static final int WARM_UP_STREAMS = 200;
 
     private final GatewayCaller caller;
@@ -162,7 +161,7 @@
     }
 
     private void send(Address target, long name, long intended, Times times) {
-        Call call = Call.chat(plan.model(), ("Stream " + name + ". ").repeat(PROMPT_REPEATS), plan.tokens());
+        Call call = Call.chat(plan.model(), "Stream " + name, plan.tokens());
         Answer answer = caller.send(target, plan.workspace(), call, Optional.empty());
         if (!answer.complete()) {
             times.lost.increment();
