Tell peers the demands of workspaces and split limits by them

Cause: each of four instances kept to a quarter of every limit, because demands were never told; a bound workspace lost the shares of instances that may not serve it. Change: the sixteen greatest demands ride in the control messages, bound ones inside their home only; a bound limit is split among its home's instances; limits need no serial lane, they are safe for several threads.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/admission/WorkspaceLimits.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/admission/WorkspaceLimits.java
@@ -2,8 +2,8 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.WorkspaceId;
 import org.ibissaddle.note.Workspace;
 import org.ibissaddle.outcome.Refusal;
@@ -43,9 +43,10 @@
     /**
      * Replaces the set of peers among which limits are split.
      *
-     * @param peers all other instances that are not known to have left, reachable or not
+     * @param peers all other instances that are not known to have left, reachable or not, with their regions; a bound
+     *     workspace's limit is split among those of its home only
      */
-    void peers(Set<InstanceId> peers);
+    void peers(Map<InstanceId, Region> peers);
 
     /**
      * Returns the part of a workspace's limit that this instance may use.
@@ -54,7 +55,7 @@
      * @param nowMs current time, epoch milliseconds
      * @return the share, 0 to 1
      */
-    double share(WorkspaceId workspace, long nowMs);
+    double share(Workspace workspace, long nowMs);
 
     /**
      * Forgets workspaces that are idle.
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/DemandLimits.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/admission/DemandLimits.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.ibissaddle.admission.WorkspaceLimits;
 import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.WorkspaceId;
 import org.ibissaddle.note.Workspace;
 import org.ibissaddle.outcome.Fate;
@@ -24,7 +26,7 @@
 
     private final Map<WorkspaceId, WorkspaceUse> uses = new ConcurrentHashMap<>();
     private final Map<InstanceId, Told> told = new ConcurrentHashMap<>();
-    private volatile Set<InstanceId> peers = Set.of();
+    private volatile Map<InstanceId, Region> peers = Map.of();
 
     private record Told(Map<WorkspaceId, Double> demand, long atMs) {}
 
@@ -35,7 +37,7 @@
     public Optional<Refusal> tryAcquire(Workspace workspace, long nowMs) {
         WorkspaceUse use = use(workspace.id());
         use.arrived(nowMs);
-        double perSecond = workspace.requestsPerSecond() * share(workspace.id(), nowMs);
+        double perSecond = workspace.requestsPerSecond() * share(workspace, nowMs);
         long freeAtMs = use.take(perSecond, nowMs);
         if (freeAtMs <= nowMs) {
             return Optional.empty();
@@ -66,18 +68,19 @@
     }
 
     @Override
-    public void peers(Set<InstanceId> all) {
-        peers = Set.copyOf(all);
-        told.keySet().retainAll(all);
+    public void peers(Map<InstanceId, Region> all) {
+        peers = Map.copyOf(all);
+        told.keySet().retainAll(all.keySet());
     }
 
     @Override
-    public double share(WorkspaceId workspace, long nowMs) {
+    public double share(Workspace declared, long nowMs) {
+        WorkspaceId workspace = declared.id();
         WorkspaceUse use = use(workspace);
         if (use.shareUntilMs > nowMs) {
             return use.share;
         }
-        Set<InstanceId> others = peers;
+        Set<InstanceId> others = sharers(declared);
         double equal = 1.0 / (others.size() + 1);
         double own = Math.max(use.demand(nowMs), Double.MIN_NORMAL);
         double fresh = own;
@@ -100,6 +103,16 @@
         return use.share;
     }
 
+    private Set<InstanceId> sharers(Workspace workspace) {
+        Set<InstanceId> sharers = new HashSet<>();
+        peers.forEach((peer, region) -> {
+            if (workspace.allows(region)) {
+                sharers.add(peer);
+            }
+        });
+        return sharers;
+    }
+
     @Override
     public int expire(long nowMs) {
         uses.values().removeIf(use -> use.idleSince() + IDLE_MS < nowMs);
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Beliefs.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Beliefs.java
@@ -31,6 +31,7 @@
 import org.ibissaddle.membership.Gossip.ServerNews;
 import org.ibissaddle.membership.MemberState;
 import org.ibissaddle.membership.Membership;
+import org.ibissaddle.membership.OwnDemand;
 import org.ibissaddle.membership.Peer;
 import org.ibissaddle.membership.Self;
 import org.ibissaddle.membership.ServerPoll;
@@ -58,6 +59,7 @@
     private long summaryAtMs;
     private long announceAtMs;
     private double load;
+    private List<OwnDemand> demands = List.of();
     private double spare;
 
     /**
@@ -123,7 +125,20 @@
                 parcel.loads,
                 parcel.pools,
                 parcel.regions,
-                parcel.names());
+                parcel.names(),
+                demandsFor(region));
+    }
+
+    private List<Gossip.Demand> demandsFor(Region region) {
+        return demands.stream()
+                .filter(one -> one.home().isEmpty() || one.home().get().equals(region))
+                .map(one -> new Gossip.Demand(one.workspace(), one.perSecond()))
+                .toList();
+    }
+
+    @Override
+    public void demand(List<OwnDemand> next) {
+        demands = next;
     }
 
     @Override
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Loop.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Loop.java
@@ -106,6 +106,7 @@
                 membership.leave();
                 nextExchangeMs = nowMs;
             }
+            case Event.Demanded demanded -> membership.demand(demanded.demands());
             case Event.Estimated estimated -> membership.estimate(estimated.load(), estimated.spare());
         }
         return actions;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/membership/Event.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/membership/Event.java
@@ -1,5 +1,6 @@
 package org.ibissaddle.membership;
 
+import java.util.List;
 import org.ibissaddle.id.ServerId;
 
 /** Something that happened, told to a {@link ControlLoop}. */
@@ -46,6 +47,14 @@
     /** The own estimate of the own region changed. */
     record Estimated(double load, double spare) implements Event {}
 
+    /** The demands of workspaces at the own instance changed. */
+    record Demanded(List<OwnDemand> demands) implements Event {
+        /** Copies the list. */
+        public Demanded {
+            demands = List.copyOf(demands);
+        }
+    }
+
     /** What a peer was asked for. */
     enum Kind {
         /** An exchange of messages. */
--- a/ibissaddle-core/src/main/java/org/ibissaddle/membership/Gossip.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/membership/Gossip.java
@@ -11,6 +11,7 @@
 import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.WorkspaceId;
 import org.ibissaddle.id.Zone;
 
 /**
@@ -27,6 +28,7 @@
  * @param pools summaries of pools by availability zone
  * @param regions summaries of regions
  * @param names models and adapters that the other fields refer to by position
+ * @param demands greatest demands of workspaces at the sender, not passed on by others
  */
 @JsonInclude(JsonInclude.Include.NON_EMPTY)
 public record Gossip(
@@ -39,7 +41,8 @@
         @JsonProperty("d") List<LoadNews> loads,
         @JsonProperty("p") List<PoolNews> pools,
         @JsonProperty("r") List<RegionNews> regions,
-        @JsonProperty("x") List<String> names) {
+        @JsonProperty("x") List<String> names,
+        @JsonProperty("w") List<Demand> demands) {
     /** Copies the lists; absent ones are empty. */
     public Gossip {
         members = members == null ? List.of() : List.copyOf(members);
@@ -48,6 +51,7 @@
         pools = pools == null ? List.of() : List.copyOf(pools);
         regions = regions == null ? List.of() : List.copyOf(regions);
         names = names == null ? List.of() : List.copyOf(names);
+        demands = demands == null ? List.of() : List.copyOf(demands);
     }
 
     /**
@@ -178,4 +182,14 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     @JsonPropertyOrder({"region", "ageMs", "loadPercent", "spare"})
     public record RegionNews(Region region, long ageMs, int loadPercent, long spare) {}
+
+    /**
+     * Demand of a workspace at the sender.
+     *
+     * @param workspace the workspace
+     * @param perSecond requests per second
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"workspace", "perSecond"})
+    public record Demand(WorkspaceId workspace, double perSecond) {}
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/membership/Membership.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/membership/Membership.java
@@ -142,6 +142,13 @@
      */
     void estimate(double load, double spare);
 
+    /**
+     * Takes in the demands of workspaces at the own instance.
+     *
+     * @param demands what peers are told; bound workspaces only inside their home
+     */
+    void demand(List<OwnDemand> demands);
+
     /**
      * Advances time: ends suspicions, prepares summaries.
      *
--- a/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.id.WorkspaceId;
 import org.ibissaddle.note.Workspace;
@@ -126,6 +127,7 @@
     class Limits {
         private final InstanceId one = new InstanceId("i1");
         private final InstanceId two = new InstanceId("i2");
+        private final Region region = new Region("r0");
         private final WorkspaceLimits first = Admissions.limits();
         private final WorkspaceLimits second = Admissions.limits();
         private final Workspace workspace = workspace("w", 100, 1, 0);
@@ -143,7 +145,16 @@
             run(5_000, 9_000, false, 150, 50);
             Map<String, Integer> taken = run(9_000, 19_000, false, 150, 300);
             assertThat(taken.get("first") + taken.get("second")).isLessThanOrEqualTo(1_130);
-            assertThat(second.share(workspace.id(), NOW + 19_000)).isLessThan(0.4);
+            assertThat(second.share(workspace, NOW + 19_000)).isLessThan(0.4);
+        }
+
+        @Test
+        void shouldSplitABoundLimitAmongInstancesOfItsHomeOnly() {
+            first.peers(Map.of(two, new Region("elsewhere")));
+            Workspace bound = new Workspace(new WorkspaceId("bound"), Optional.of(region), 100, 1, 0);
+
+            assertThat(first.share(bound, NOW)).isEqualTo(1);
+            assertThat(first.share(workspace, NOW)).isEqualTo(0.5);
         }
 
         @Test
@@ -156,8 +167,8 @@
         }
 
         private Map<String, Integer> run(long fromMs, long toMs, boolean joined, int perSecond1, int perSecond2) {
-            first.peers(Set.of(two));
-            second.peers(Set.of(one));
+            first.peers(Map.of(two, region));
+            second.peers(Map.of(one, region));
             Map<String, Integer> taken = new HashMap<>(Map.of("first", 0, "second", 0));
             for (long t = NOW + fromMs; t < NOW + toMs; t += 2) {
                 if (joined && t % 500 == 0) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -91,7 +91,8 @@
         routes.add(new TimelineRoute(recorder));
         ControlServer control = ControlServer.start(settings, state, metrics, routes);
         state.observations().listen(plane::unreachable, plane::leaving);
-        parts.reportLoad(plane::estimated);
+        plane.listen(parts.gate()::heard);
+        parts.reportLoad(plane::estimated, plane::demanded);
         plane.start();
         log.info("started", "caller_address", callers.address(), "control_address", settings.controlAddress());
         return new Daemon(state, parts, callers, control, plane, clock, log);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.ibissaddle.daemon.admission.AdmissionGate;
 import org.ibissaddle.daemon.admission.GatedPolicy;
 import org.ibissaddle.daemon.admission.RegionEstimate;
@@ -31,6 +32,7 @@
 import org.ibissaddle.daemon.timeline.RecordingPolicy;
 import org.ibissaddle.dispatch.OnceLedger;
 import org.ibissaddle.dispatch.OnceLimits;
+import org.ibissaddle.membership.OwnDemand;
 import org.ibissaddle.placement.PlacementPolicy;
 import org.ibissaddle.placement.WeightedPolicy;
 import org.ibissaddle.port.Clock;
@@ -52,6 +54,7 @@
     private final PlainServices services;
     private final ScheduledExecutorService expiry;
     private final RegionEstimate estimate;
+    private final AdmissionGate gate;
 
     private RequestParts(
             RequestPath path,
@@ -61,7 +64,8 @@
             StreamClient engines,
             PlainServices services,
             ScheduledExecutorService expiry,
-            RegionEstimate estimate) {
+            RegionEstimate estimate,
+            AdmissionGate gate) {
         this.path = path;
         this.refusals = refusals;
         this.desk = desk;
@@ -70,6 +74,7 @@
         this.services = services;
         this.expiry = expiry;
         this.estimate = estimate;
+        this.gate = gate;
     }
 
     static RequestParts create(
@@ -134,17 +139,26 @@
                 engines,
                 services,
                 expiry,
-                new RegionEstimate(state, weighted, clock));
+                new RegionEstimate(state, weighted, clock),
+                gate);
     }
 
     RequestPath path() {
         return path;
     }
 
-    /** Tells the estimate of the own region's load at an interval from now on. */
-    void reportLoad(RegionEstimate.Listener listener) {
+    /** Tells the own region's load and the own demands at an interval from now on. */
+    void reportLoad(RegionEstimate.Listener load, Consumer<List<OwnDemand>> demands) {
+        Runnable report = () -> {
+            estimate.tell(load);
+            demands.accept(gate.demands());
+        };
         var unused = expiry.scheduleWithFixedDelay(
-                () -> estimate.tell(listener), ESTIMATE_INTERVAL_MS, ESTIMATE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                report, ESTIMATE_INTERVAL_MS, ESTIMATE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    AdmissionGate gate() {
+        return gate;
     }
 
     RefusalCounts refusals() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/admission/AdmissionGate.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/admission/AdmissionGate.java
@@ -1,5 +1,8 @@
 package org.ibissaddle.daemon.admission;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -10,18 +13,19 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.ibissaddle.admission.Admission;
 import org.ibissaddle.admission.Admissions;
 import org.ibissaddle.admission.WorkspaceLimits;
 import org.ibissaddle.daemon.state.SharedState;
-import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.PoolId;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.id.WorkspaceId;
+import org.ibissaddle.membership.Gossip;
+import org.ibissaddle.membership.OwnDemand;
 import org.ibissaddle.note.ReleaseNote;
 import org.ibissaddle.outcome.Fate;
 import org.ibissaddle.outcome.Refusal;
@@ -34,7 +38,7 @@
 
 /** Lets requests through when their workspace's limit and their pool allow it; refuses early what would be too late. */
 public final class AdmissionGate {
-    private static final int MOST_DEMANDS = 64;
+    private static final int MOST_DEMANDS = 16;
     private static final Admission.Verdict CALLER_GONE = new Admission.Refuse(
             Refusal.of(RefusalType.DEADLINE_PASSED, "the caller went before its request was placed", Fate.NOT_RUN));
 
@@ -85,9 +89,7 @@
     }
 
     private void requireLimit(Work work, long nowMs) throws RefusedException {
-        CompletableFuture<Optional<Refusal>> taken = new CompletableFuture<>();
-        lane.run(() -> taken.complete(limits.tryAcquire(work.workspace(), nowMs)));
-        Optional<Refusal> refusal = taken.join();
+        Optional<Refusal> refusal = limits.tryAcquire(work.workspace(), nowMs);
         if (refusal.isPresent()) {
             throw new RefusedException(refusal.get());
         }
@@ -175,38 +177,41 @@
 
     /** Forgets idle workspaces and follows the set of peers; to be called at an interval. */
     public void tidy() {
-        FleetView fleet = state.fleet();
-        Set<InstanceId> peers = fleet.peers().stream()
-                .filter(peer -> peer.health() != Health.LEAVING)
-                .map(InstanceView::id)
-                .collect(Collectors.toSet());
-        lane.run(() -> {
-            long nowMs = clock.nowMs();
-            limits.peers(peers);
-            limits.expire(nowMs);
-            admission.expire(nowMs);
-        });
+        long nowMs = clock.nowMs();
+        Map<InstanceId, Region> peers = new HashMap<>();
+        for (InstanceView peer : state.fleet().peers()) {
+            if (peer.health() != Health.LEAVING) {
+                peers.put(peer.id(), peer.region());
+            }
+        }
+        limits.peers(peers);
+        limits.expire(nowMs);
+        lane.run(() -> admission.expire(nowMs));
     }
 
     /**
      * Returns the greatest demands of workspaces at this instance, for its peers.
      *
-     * @return requests per second by workspace
+     * @return demands of declared workspaces
      */
-    public Map<WorkspaceId, Double> demand() {
-        CompletableFuture<Map<WorkspaceId, Double>> demand = new CompletableFuture<>();
-        lane.run(() -> demand.complete(limits.demand(MOST_DEMANDS, clock.nowMs())));
-        return demand.join();
+    public List<OwnDemand> demands() {
+        List<OwnDemand> demands = new ArrayList<>();
+        limits.demand(MOST_DEMANDS, clock.nowMs())
+                .forEach((id, perSecond) -> state.note()
+                        .flatMap(note -> note.workspace(id))
+                        .ifPresent(workspace -> demands.add(new OwnDemand(id, workspace.home(), perSecond))));
+        return demands;
     }
 
     /**
      * Takes in what a peer told of its demands.
      *
-     * @param peer the peer
-     * @param demand requests per second by workspace
+     * @param gossip the peer's message
      */
-    public void peerDemand(InstanceId peer, Map<WorkspaceId, Double> demand) {
-        lane.run(() -> limits.peerDemand(peer, demand, clock.nowMs()));
+    public void heard(Gossip gossip) {
+        Map<WorkspaceId, Double> demand = new HashMap<>();
+        gossip.demands().forEach(one -> demand.put(one.workspace(), one.perSecond()));
+        limits.peerDemand(gossip.from().id(), demand, clock.nowMs());
     }
 
     /**
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.ibissaddle.daemon.backend.SourceSocketFactory;
 import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.log.EventLog;
@@ -23,6 +25,7 @@
 import org.ibissaddle.membership.ListAnswer;
 import org.ibissaddle.membership.MessageRejectedException;
 import org.ibissaddle.membership.NoteAnswer;
+import org.ibissaddle.membership.OwnDemand;
 import org.ibissaddle.membership.Self;
 import org.ibissaddle.membership.ServerPoll;
 import org.ibissaddle.note.NoteFault;
@@ -52,6 +55,7 @@
     private final LoopRunner runner;
     private final DeploymentKey key;
     private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
+    private final AtomicReference<Consumer<Gossip>> heard = new AtomicReference<>(gossip -> {});
     private boolean wasReady;
     private long viewedAtMs;
 
@@ -96,7 +100,7 @@
      * @return routes of the control port
      */
     public ControlRoutes routes() {
-        return new PeerRoutes(runner, key);
+        return new PeerRoutes(runner, key, gossip -> heard.get().accept(gossip));
     }
 
     /** Starts to read and talk. */
@@ -137,6 +141,24 @@
         tell(new Event.Estimated(load, spare));
     }
 
+    /**
+     * Records the demands of workspaces at this instance.
+     *
+     * @param demands what peers are told
+     */
+    public void demanded(List<OwnDemand> demands) {
+        tell(new Event.Demanded(demands));
+    }
+
+    /**
+     * Sets who else is told of the messages of peers.
+     *
+     * @param listener told of each message
+     */
+    public void listen(Consumer<Gossip> listener) {
+        heard.set(listener);
+    }
+
     private void tell(Event event) {
         runner.tell(event);
     }
@@ -187,6 +209,7 @@
     private void exchange(Action.Exchange action) {
         try {
             Gossip answer = peers.ask(action.peer().control(), PeerRoutes.GOSSIP, action.message(), Gossip.class);
+            heard.get().accept(answer);
             tell(new Event.Answered(action.peer(), answer));
         } catch (IOException | MessageRejectedException e) {
             log.fine("peer-silent", "peer", action.peer().control(), "cause", e.getMessage());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/PeerRoutes.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/PeerRoutes.java
@@ -5,6 +5,7 @@
 import io.jooby.MediaType;
 import io.jooby.StatusCode;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.ibissaddle.daemon.control.ControlRoutes;
 import org.ibissaddle.daemon.path.Headers;
@@ -23,19 +24,26 @@
 
     private final LoopRunner loop;
     private final DeploymentKey key;
+    private final Consumer<Gossip> heard;
 
-    PeerRoutes(LoopRunner loop, DeploymentKey key) {
+    PeerRoutes(LoopRunner loop, DeploymentKey key, Consumer<Gossip> heard) {
         this.loop = loop;
         this.key = key;
+        this.heard = heard;
     }
 
     @Override
     public void addTo(Jooby app) {
-        app.post(GOSSIP, ctx -> answer(ctx, Gossip.class, loop::answer));
+        app.post(GOSSIP, ctx -> answer(ctx, Gossip.class, this::answer));
         app.post(NOTE, ctx -> answer(ctx, NoteRequest.class, loop::answer));
         app.post(LIST, ctx -> answer(ctx, ListRequest.class, loop::answer));
     }
 
+    private Object answer(Gossip gossip) {
+        heard.accept(gossip);
+        return loop.answer(gossip);
+    }
+
     private <Q> String answer(Context ctx, Class<Q> type, Function<Q, Object> answerer) {
         byte[] body = ctx.body().bytes();
         String expected = PeerClient.signature(key, PeerClient.QUESTION, body);
