--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -8,16 +8,19 @@
 import org.ibissaddle.daemon.caller.CallerReply;
 import org.ibissaddle.daemon.caller.CallerRequest;
 import org.ibissaddle.daemon.caller.CallerService;
+import org.ibissaddle.daemon.caller.RefusalCounts;
 import org.ibissaddle.daemon.caller.RefusalJson;
 import org.ibissaddle.daemon.caller.RequestHead;
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.stream.StreamResumes;
+import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.outcome.Fate;
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
 import org.ibissaddle.outcome.RefusedException;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.timeline.Event;
 
 /** The way of a request: admit and bind on its head, then place, dispatch, relay and account. */
 public final class RequestPath implements CallerService {
@@ -29,6 +32,7 @@
     private final ServiceCalls serviceCalls;
     private final StreamResumes resumes;
     private final AtomicInteger open = new AtomicInteger();
+    private final RefusalCounts refusals;
     private final Clock clock;
     private final EventLog log;
 
@@ -40,6 +44,7 @@
      * @param modelCalls how model calls are served
      * @param serviceCalls how calls of plain services are served
      * @param resumes how streams are read on
+     * @param refusals counts refusals
      * @param clock source of time
      * @param log log of the instance
      */
@@ -49,6 +54,7 @@
             ModelCalls modelCalls,
             ServiceCalls serviceCalls,
             StreamResumes resumes,
+            RefusalCounts refusals,
             Clock clock,
             EventLog log) {
         this.state = state;
@@ -56,12 +62,14 @@
         this.modelCalls = modelCalls;
         this.serviceCalls = serviceCalls;
         this.resumes = resumes;
+        this.refusals = refusals;
         this.clock = clock;
         this.log = log;
     }
 
     @Override
     public Optional<Refusal> check(RequestHead head) {
+        state.recorder().receive(head.header(Recorder.HEADER));
         try {
             if (!isModelList(head)) {
                 binding.require(head);
@@ -71,10 +79,16 @@
         } catch (RefusedException e) {
             Refusal refusal = unproven(head, e.refusal());
             logRefusal(refusal);
+            state.recorder().record(new Event.Refused(refusal.type(), refusal.fate()));
             return Optional.of(refusal);
         }
     }
 
+    @Override
+    public void refused(Refusal refusal) {
+        logRefusal(refusal);
+    }
+
     @Override
     public void serve(CallerRequest request, CallerReply reply) {
         open.incrementAndGet();
@@ -92,6 +106,11 @@
         }
     }
 
+    @Override
+    public boolean leaving() {
+        return state.draining();
+    }
+
     /**
      * Counts the requests that have not been answered.
      *
@@ -147,6 +166,7 @@
     }
 
     private void logRefusal(Refusal refusal) {
+        refusals.count(refusal);
         log.info("refused", "type", refusal.type().word(), "ran", refusal.fate().word());
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamResumes.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamResumes.java
@@ -173,7 +173,8 @@
         }
 
         private Request request(long offset) {
-            EngineRequests requests = new EngineRequests(context.settings(), work, PATH, new byte[0]);
+            EngineRequests requests =
+                    new EngineRequests(context.settings(), context.state().recorder(), work, PATH, new byte[0]);
             return requests.resume(target, offset, lastId.or(() -> Optional.of(text)));
         }
 
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Contender.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Contender.java
@@ -13,6 +13,7 @@
     ALWAYS_SPILL,
     PREFIX_AFFINITY;
 
+    /** Makes the policy anew. */
     PlacementPolicy make() {
         return switch (this) {
             case WEIGHTED -> Placements.weighted(Tuning.defaults());
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Deployment.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/policy/Deployment.java
@@ -21,6 +21,7 @@
 import org.ibissaddle.note.Workspace;
 
 /** The two deployments: three regions with 3, 3 and 2 engines, and their own links and weights. */
+@SuppressWarnings("ImmutableEnumChecker") // its records hold numbers only
 enum Deployment {
     /** Weighs cost and the share sent away; 100 Mb/s between regions. */
     COOPERATIVE(12_500_000),
