Keep one retry budget, one deployment key and one binding check

Cause: the parts were built apart and each had its own. Change: the budget of dispatch, the key of tickets and the check of placement serve all; a path of hops counts the own region when it passed another; the wait in the own queue goes to the policy's forecast.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/deployment/EmbeddedDeployment.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/deployment/EmbeddedDeployment.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.logging.Level;
 import org.ibissaddle.daemon.Daemon;
-import org.ibissaddle.daemon.settings.DeploymentKey;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
@@ -23,6 +22,7 @@
 import org.ibissaddle.standins.ServiceOptions;
 import org.ibissaddle.standins.ServiceStandin;
 import org.ibissaddle.standins.StandinStartException;
+import org.ibissaddle.ticket.DeploymentKey;
 
 /** Platform, backend servers and entry instances of a deployment in one process on the loopback interface. */
 public final class EmbeddedDeployment implements AutoCloseable {
@@ -101,7 +101,7 @@
                 control,
                 List.of(address(platform.address())),
                 controls,
-                new DeploymentKey(KEY.getBytes(StandardCharsets.UTF_8)),
+                DeploymentKey.of(KEY.getBytes(StandardCharsets.UTF_8)),
                 new Settings.Limits(MAX_BODY_BYTES, MAX_HEADER_BYTES, DEADLINE_MS),
                 Level.INFO);
         parts.add(Daemon.start(settings, System::currentTimeMillis));
--- a/ibissaddle-core/src/main/java/org/ibissaddle/ticket/DeploymentKey.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/ticket/DeploymentKey.java
@@ -14,7 +14,8 @@
     public static final int SIGNATURE_BYTES = 16;
 
     private static final String ALGORITHM = "HmacSHA256";
-    private static final int MIN_SECRET_BYTES = 16;
+    /** Least length of the secret, bytes. */
+    public static final int MIN_SECRET_BYTES = 16;
 
     private final SecretKeySpec secret;
 
@@ -66,4 +67,14 @@
     public boolean verify(String purpose, byte[] content, byte[] signature) {
         return MessageDigest.isEqual(sign(purpose, content), signature);
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof DeploymentKey key && secret.equals(key.secret);
+    }
+
+    @Override
+    public int hashCode() {
+        return secret.hashCode();
+    }
 }
--- a/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionPropertiesTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionPropertiesTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.ibissaddle.dispatch.RetryBudget;
 import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.RequestId;
 import org.ibissaddle.id.WorkspaceId;
@@ -78,7 +79,7 @@
     @Example
     void shouldEndTheOverloadWhenItsCauseEnds() {
         Admission admission = Admissions.fair(64, 1);
-        RetryBudget retries = RetryBudget.standard();
+        RetryBudget retries = RetryBudget.of(0.1, 10);
         PriorityQueue<Long> again = new PriorityQueue<>();
         Deque<Long> server = new ArrayDeque<>();
         int refusedAfter = 0;
@@ -92,7 +93,7 @@
             boolean fresh = ms % (surge ? 30 : 125) == 0;
             boolean retried = !again.isEmpty() && again.peek() <= now && again.poll() > 0;
             if (fresh) {
-                retries.request();
+                retries.called();
             }
             if (fresh || retried) {
                 Work work = work("r" + ms, "w" + ms % 7, 1, 80, 10, now + 3_000);
@@ -103,7 +104,7 @@
                 }
                 if (verdict instanceof Admission.Refuse refuse) {
                     refusedAfter += ms > 20_000 ? 1 : 0;
-                    if (retries.tryRetry()) {
+                    if (retries.take()) {
                         again.add(refuse.refusal().retryAtMs().orElseThrow());
                     }
                 }
--- a/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.ibissaddle.dispatch.RetryBudget;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
@@ -193,11 +194,11 @@
     class Retries {
         @Test
         void shouldBoundRetriesToAShareOfTheRequests() {
-            RetryBudget budget = RetryBudget.standard();
+            RetryBudget budget = RetryBudget.of(0.1, 10);
             int retries = 0;
             for (int i = 0; i < 1_000; i++) {
-                budget.request();
-                retries += budget.tryRetry() ? 1 : 0;
+                budget.called();
+                retries += budget.take() ? 1 : 0;
             }
             assertThat(retries).isBetween(100, 110);
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestParts.java
@@ -17,7 +17,7 @@
 import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.once.PlainServices;
 import org.ibissaddle.daemon.once.TicketDesk;
-import org.ibissaddle.daemon.path.Binding;
+import org.ibissaddle.daemon.path.HeadBinding;
 import org.ibissaddle.daemon.path.ModelCalls;
 import org.ibissaddle.daemon.path.RequestPath;
 import org.ibissaddle.daemon.path.RetryBudgets;
@@ -84,7 +84,7 @@
             Clock clock,
             EventLog log,
             MetricRegistry metrics) {
-        DeploymentKey key = DeploymentKey.of(settings.deploymentKey().bytes());
+        DeploymentKey key = settings.deploymentKey();
         Tickets tickets = Tickets.signedWith(key);
         StreamTokens tokens = new StreamTokens(key);
         OnceLedger ledger = new OnceLedger(
@@ -112,7 +112,7 @@
         RefusalCounts refusals = new RefusalCounts(metrics);
         RequestPath path = new RequestPath(
                 state,
-                new Binding(state, settings.region()),
+                new HeadBinding(state, settings.region()),
                 new ModelCalls(settings, state, gate, new ModelAnswers(context)),
                 services,
                 new StreamResumes(context),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/admission/AdmissionGate.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/admission/AdmissionGate.java
@@ -164,10 +164,11 @@
             Optional<Admission.Released> next = admission.next(
                     pool, work -> policy.predictedWaitMs(work, note.get(), state.fleet(), nowMs), targetMs, nowMs);
             if (next.isEmpty()) {
-                return;
+                break;
             }
             release(next.get());
         }
+        policy.queueWait(pool, admission.queueWaitMs(pool));
     }
 
     /** Lets waiting requests of all pools through; to be called at an interval, as load reports come in. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/Binding.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/HeadBinding.java
@@ -1,11 +1,8 @@
 package org.ibissaddle.daemon.path;
 
-import java.util.List;
 import java.util.Optional;
 import org.ibissaddle.daemon.caller.RequestHead;
 import org.ibissaddle.daemon.state.SharedState;
-import org.ibissaddle.fleet.InstanceView;
-import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InvalidNameException;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.WorkspaceId;
@@ -15,9 +12,10 @@
 import org.ibissaddle.outcome.Refusal;
 import org.ibissaddle.outcome.RefusalType;
 import org.ibissaddle.outcome.RefusedException;
+import org.ibissaddle.placement.Binding;
 
 /** Finds the workspace of a request and checks that its binding allows this region. */
-public final class Binding {
+public final class HeadBinding {
     private static final String BEARER = "Bearer ";
 
     private final SharedState state;
@@ -29,7 +27,7 @@
      * @param state note and beliefs
      * @param region region of the instance
      */
-    public Binding(SharedState state, Region region) {
+    public HeadBinding(SharedState state, Region region) {
         this.state = state;
         this.region = region;
     }
@@ -42,19 +40,19 @@
      * @throws RefusedException when there is no note, the workspace is unknown, or it is bound elsewhere
      */
     public Workspace require(RequestHead head) throws RefusedException {
-        ReleaseNote note = state.note().orElseThrow(Binding::notReady);
+        ReleaseNote note = state.note().orElseThrow(HeadBinding::notReady);
         String name = workspaceName(head).orElseThrow(() -> unknown("the request names no workspace"));
-        Workspace workspace = find(note, name);
-        if (!workspace.allows(region)) {
-            throw wrongRegion(workspace);
+        WorkspaceId id = workspaceId(name);
+        Optional<Refusal> refusal = Binding.check(id, Hops.visited(head, region), note, state.fleet());
+        if (refusal.isPresent()) {
+            throw new RefusedException(refusal.get());
         }
-        return workspace;
+        return note.workspace(id).orElseThrow();
     }
 
-    private static Workspace find(ReleaseNote note, String name) throws RefusedException {
+    private static WorkspaceId workspaceId(String name) throws RefusedException {
         try {
-            return note.workspace(new WorkspaceId(name))
-                    .orElseThrow(() -> unknown("workspace \"" + name + "\" is not declared by note " + note.number()));
+            return new WorkspaceId(name);
         } catch (InvalidNameException e) {
             throw unknown(e.getMessage());
         }
@@ -70,18 +68,6 @@
                 .map(value -> value.substring(BEARER.length()).trim());
     }
 
-    private RefusedException wrongRegion(Workspace workspace) {
-        Region home = workspace.home().orElseThrow();
-        List<Address> instances = state.fleet().peers().stream()
-                .filter(peer -> peer.region().equals(home) && peer.health().takesNewWork())
-                .map(InstanceView::callerAddress)
-                .toList();
-        String message = "workspace \"" + workspace.id() + "\" is bound to region \"" + home + "\"; this is region \""
-                + region + "\"";
-        return new RefusedException(
-                Refusal.of(RefusalType.WRONG_REGION, message, Fate.NOT_RUN).use(instances));
-    }
-
     private static RefusedException notReady() {
         return new RefusedException(
                 Refusal.of(RefusalType.NOT_READY, "this instance holds no release note yet", Fate.NOT_RUN));
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/Hops.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/Hops.java
@@ -19,8 +19,8 @@
      * Lists the regions that sent a request on to this region.
      *
      * @param head start line and header fields
-     * @param here region of this instance, whose own instances do not count
-     * @return regions, first one first; empty when it came from its caller or from an instance of this region
+     * @param here region of this instance
+     * @return regions, first one first; empty when it came from its caller or by way of this region alone
      * @throws RefusedException when the field is malformed
      */
     public static List<Region> visited(RequestHead head, Region here) throws RefusedException {
@@ -29,12 +29,10 @@
             if (hop.isBlank()) {
                 continue;
             }
-            Region region = region(hop.trim());
-            if (!region.equals(here)) {
-                regions.add(region);
-            }
+            regions.add(region(hop.trim()));
         }
-        return regions;
+        boolean withinRegion = regions.stream().allMatch(here::equals);
+        return withinRegion ? List.of() : regions;
     }
 
     /**
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RequestPath.java
@@ -27,7 +27,7 @@
     private static final String MODELS_PATH = "/v1/models";
 
     private final SharedState state;
-    private final Binding binding;
+    private final HeadBinding binding;
     private final ModelCalls modelCalls;
     private final ServiceCalls serviceCalls;
     private final StreamResumes resumes;
@@ -50,7 +50,7 @@
      */
     public RequestPath(
             SharedState state,
-            Binding binding,
+            HeadBinding binding,
             ModelCalls modelCalls,
             ServiceCalls serviceCalls,
             StreamResumes resumes,
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
@@ -63,7 +63,7 @@
         this.state = state;
         this.clock = clock;
         this.log = log;
-        this.key = DeploymentKey.of(settings.deploymentKey().bytes());
+        this.key = settings.deploymentKey();
         this.http = new HttpCalls(SourceSocketFactory.from(settings.callerAddress()));
         this.peers = new PeerClient(http, key);
         this.platform = new PlatformClient(http, settings.platform());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/Settings.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/Settings.java
@@ -6,6 +6,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.ticket.DeploymentKey;
 
 /**
  * Settings of one daemon.
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/SettingsReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/settings/SettingsReader.java
@@ -22,6 +22,7 @@
 import org.ibissaddle.id.InvalidNameException;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.ticket.DeploymentKey;
 
 /** Reads settings from INI and reports every fault at once. */
 public final class SettingsReader {
@@ -34,6 +35,8 @@
             "log", Set.of("level"));
     private static final Map<String, Level> LEVELS =
             Map.of("debug", Level.FINE, "info", Level.INFO, "warning", Level.WARNING, "error", Level.SEVERE);
+    private static final DeploymentKey EXAMPLE_KEY =
+            DeploymentKey.of("replace-this-with-a-secret".getBytes(StandardCharsets.UTF_8));
     private static final int MIN_BODY_BYTES = 1024;
     private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
     private static final int DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
@@ -130,7 +133,7 @@
      * @return warnings, empty when there are none
      */
     public static List<SettingsFault> warnings(String file, Settings settings) {
-        if (!settings.deploymentKey().isExample()) {
+        if (!settings.deploymentKey().equals(EXAMPLE_KEY)) {
             return List.of();
         }
         return List.of(new SettingsFault(
@@ -138,7 +141,7 @@
                 "security",
                 "deployment-key",
                 "is the key of the examples, which anybody knows",
-                "a secret of your own of at least " + DeploymentKey.MIN_BYTES + " bytes"));
+                "a secret of your own of at least " + DeploymentKey.MIN_SECRET_BYTES + " bytes"));
     }
 
     private void checkPlatform(List<Address> platform) {
@@ -203,7 +206,7 @@
     }
 
     private DeploymentKey key(String text) {
-        return new DeploymentKey(text.getBytes(StandardCharsets.UTF_8));
+        return DeploymentKey.of(text.getBytes(StandardCharsets.UTF_8));
     }
 
     private List<Address> addresses(String section, String key) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
@@ -13,7 +13,6 @@
 import java.util.stream.Stream;
 import org.ibissaddle.daemon.caller.RawCaller;
 import org.ibissaddle.daemon.once.TicketDesk;
-import org.ibissaddle.daemon.settings.DeploymentKey;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.timeline.Recorder;
@@ -27,6 +26,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.ticket.DeploymentKey;
 import org.ibissaddle.ticket.Tickets;
 import org.ibissaddle.timeline.Origin;
 import org.junit.jupiter.api.AfterEach;
@@ -54,7 +54,7 @@
                 address,
                 List.of(),
                 List.of(),
-                new DeploymentKey("0123456789abcdef".getBytes(StandardCharsets.UTF_8)),
+                DeploymentKey.of("0123456789abcdef".getBytes(StandardCharsets.UTF_8)),
                 new Settings.Limits(1024, 1024, 1000),
                 Level.INFO);
         InstanceView self =
@@ -62,11 +62,10 @@
         SharedState state = new SharedState(
                 new FleetView(self, List.of(), List.of(), 0),
                 new Recorder(new Origin(id, new Incarnation(1, 1), region, zone), System::currentTimeMillis));
-        DeploymentKey secret = settings.deploymentKey();
         TicketDesk desk = new TicketDesk(
                 state,
                 new OnceLedger(id, new Incarnation(1, 1), OnceLimits.DEFAULT),
-                Tickets.signedWith(org.ibissaddle.ticket.DeploymentKey.of(secret.bytes())),
+                Tickets.signedWith(settings.deploymentKey()),
                 System::currentTimeMillis);
         server = ControlServer.start(
                 settings, state, new MetricRegistry(), List.of(new AskRoute(state, desk, System::currentTimeMillis)));
