--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -12,6 +12,10 @@
         all.add(new ServeCommand());
         all.add(new ConfigCheckCommand());
         all.add(new NoteCheckCommand());
+        all.add(new NoteShowCommand());
+        all.add(new NoteDiffCommand());
+        all.add(new StatusCommand());
+        all.add(new LoadCommand());
         all.add(new DemoCommand());
         all.add(new TimelineCommand());
         all.addAll(StandinCommands.all());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerService.java
@@ -13,6 +13,13 @@
      */
     Optional<Refusal> check(RequestHead head);
 
+    /**
+     * Learns of a refusal that the caller port gave by itself, for example of a body that is too large. Must not block.
+     *
+     * @param refusal what the caller was told
+     */
+    default void refused(Refusal refusal) {}
+
     /**
      * Serves a request. Called on a thread of its own that may block.
      *
@@ -20,4 +27,11 @@
      * @param reply the way back
      */
     void serve(CallerRequest request, CallerReply reply);
+
+    /**
+     * Tells whether connections are closed after their current request.
+     *
+     * @return whether the instance is leaving
+     */
+    boolean leaving();
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/NettyReply.java
@@ -17,21 +17,27 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.ibissaddle.outcome.Fate;
 
 /** A reply over a Netty channel, with at most one write buffer's worth of pieces waiting. */
 final class NettyReply implements CallerReply {
+    private static final String RAN = "x-ran";
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final Channel channel;
-    private final boolean keepAlive;
+    private final BooleanSupplier mayKeep;
     private final Runnable whenEnded;
     private final AtomicReference<Runnable> goneAction = new AtomicReference<>();
     private final AtomicReference<Thread> waiter = new AtomicReference<>();
+    private volatile boolean keepAlive;
     private volatile boolean started;
     private volatile boolean ended;
     private volatile boolean gone;
 
-    NettyReply(Channel channel, boolean keepAlive, Runnable whenEnded) {
+    NettyReply(Channel channel, BooleanSupplier mayKeep, Runnable whenEnded) {
         this.channel = channel;
-        this.keepAlive = keepAlive;
+        this.mayKeep = mayKeep;
         this.whenEnded = whenEnded;
     }
 
@@ -42,6 +48,7 @@
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
         headers.forEach((name, value) -> response.headers().set(name, value));
+        setRan(response);
         HttpUtil.setContentLength(response, body.length);
         setConnection(response);
         finish(channel.writeAndFlush(response));
@@ -53,6 +60,7 @@
         started = true;
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         headers.forEach((name, value) -> response.headers().set(name, value));
+        setRan(response);
         HttpUtil.setTransferEncodingChunked(response, true);
         setConnection(response);
         channel.writeAndFlush(response);
@@ -124,7 +132,15 @@
         });
     }
 
+    private static void setRan(HttpResponse response) {
+        boolean answered = response.status().code() < FIRST_ERROR_STATUS;
+        if (answered && !response.headers().contains(RAN)) {
+            response.headers().set(RAN, Fate.RAN.word());
+        }
+    }
+
     private void setConnection(HttpResponse response) {
+        keepAlive = mayKeep.getAsBoolean();
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
