--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/Processes.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/Processes.java
@@ -10,6 +10,7 @@
 /** Starts processes of the binary and ends every one of them, by id, when closed. */
 public final class Processes implements AutoCloseable {
     private static final int MAX_PROCESSES = 64;
+    private static final String QUICK_START = "-XX:TieredStopAtLevel=1";
     private static final Path BINARY = Path.of("..", "dist", "ibissaddle").toAbsolutePath();
 
     private final List<GatewayProcess> started = new ArrayList<>();
@@ -26,6 +27,7 @@
         command.addAll(Arrays.asList(args));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
+        builder.environment().put("IBISSADDLE_JAVA_OPTS", QUICK_START);
         GatewayProcess process = new GatewayProcess(name, builder.start());
         started.add(process);
         return process;
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/Steps.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/Steps.java
@@ -25,6 +25,7 @@
 import org.ibissaddle.standins.EngineFaults;
 import org.ibissaddle.standins.PlatformFaults;
 import org.ibissaddle.standins.ServiceFaults;
+import org.ibissaddle.timeline.Entry;
 import org.ibissaddle.timeline.Event;
 import org.ibissaddle.timeline.Timeline;
 
@@ -420,10 +421,13 @@
 
     @Then("instance {string} never went back behind note {int}")
     public void neverBack(String instance, int number) {
-        List<Long> numbers = world.fleet.process(instance).lines().stream()
-                .filter(line -> line.contains("event=note-in-force"))
-                .map(line -> Long.parseLong(line.replaceAll(".* number=(\\d+).*", "$1")))
-                .toList();
+        Address control = Address.parse(world.fleet.control(instance));
+        List<Long> numbers = new ArrayList<>();
+        for (Entry entry : new TimelineCollector().collect(List.of(control)).entries()) {
+            if (entry.event() instanceof Event.NoteInForce note) {
+                numbers.add(note.number());
+            }
+        }
         assertThat(numbers).isSorted().contains((long) number);
     }
 
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/World.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/scenario/World.java
@@ -49,7 +49,14 @@
     /** Sends exactly this prompt. */
     Call chatExactly(String workspace, String instance, String prompt, int tokens) throws InterruptedException {
         try {
-            HttpResponse<String> answer = http.chat(fleet.caller(instance), workspace, model, prompt, tokens, true);
+            HttpResponse<String> answer = http.post(
+                    fleet.caller(instance),
+                    "/v1/chat/completions",
+                    Http.chatBody(model, prompt, tokens, true),
+                    "X-Workspace",
+                    workspace,
+                    "X-Deadline-Ms",
+                    Long.toString(System.currentTimeMillis() + patienceMs(tokens)));
             return new Call(model, prompt, tokens, Optional.of(answer));
         } catch (IOException e) {
             return new Call(model, prompt, tokens, Optional.empty());
