--- a/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/admission/AdmissionTest.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.admission;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -154,8 +155,8 @@
             first.peers(Map.of(two, new Region("elsewhere")));
             Workspace bound = new Workspace(new WorkspaceId("bound"), Optional.of(region), 100, 1, 0);
 
-            assertThat(first.share(bound, NOW)).isEqualTo(1);
-            assertThat(first.share(workspace, NOW)).isEqualTo(0.5);
+            assertThat(first.share(bound, NOW)).isCloseTo(1, within(1e-9));
+            assertThat(first.share(workspace, NOW)).isCloseTo(0.5, within(1e-9));
         }
 
         @Test
