Let the test of a fleet that refuses everything have a fleet of its own

Cause: a server that says it leaves is not used again within its incarnation since requests tell membership what they see; the test drained the services that the other tests share, and six tests after it saw only refusals. Change: that test starts two instances and services of its own; its checks are the same.

--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/AtMostOnceTest.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/AtMostOnceTest.java
@@ -236,12 +236,18 @@
     @Nested
     class ServiceFailures {
         private Fate faulty(ServiceFaults faults) {
-            cluster.instances().forEach(name -> cluster.awaitReady(name, 3));
-            cluster.services().forEach(service -> service.setFaults(faults));
-            OnceCaller.Asked asked = caller.ask("a").orElseThrow();
-            Fate fate = caller.send(asked.ticket().owner().name(), asked.text()).orElseThrow();
-            cluster.services().forEach(service -> service.setFaults(ServiceFaults.none()));
-            int seen = cluster.arrivals().getOrDefault(asked.ticket().key(), 0);
+            return faulty(cluster, faults);
+        }
+
+        private Fate faulty(Cluster fleet, ServiceFaults faults) {
+            int peers = fleet.instances().size() - 1;
+            fleet.instances().forEach(name -> fleet.awaitReady(name, peers));
+            fleet.services().forEach(service -> service.setFaults(faults));
+            OnceCaller client = new OnceCaller(fleet);
+            OnceCaller.Asked asked = client.ask("a").orElseThrow();
+            Fate fate = client.send(asked.ticket().owner().name(), asked.text()).orElseThrow();
+            fleet.services().forEach(service -> service.setFaults(ServiceFaults.none()));
+            int seen = fleet.arrivals().getOrDefault(asked.ticket().key(), 0);
             assertThat(seen).isEqualTo(faults.drain() ? 0 : 1);
             return fate;
         }
@@ -262,8 +268,11 @@
         }
 
         @Test
-        void shouldSayNotRunWhenEveryServerSaysSo() {
-            assertThat(faulty(new ServiceFaults(0, 0, 0, 0, true, 0))).isEqualTo(Fate.NOT_RUN);
+        void shouldSayNotRunWhenEveryServerSaysSo(@TempDir Path own) throws StandinStartException, IOException {
+            try (Cluster apart = new Cluster(own, 2, SERVICES, 0)) {
+                assertThat(faulty(apart, new ServiceFaults(0, 0, 0, 0, true, 0)))
+                        .isEqualTo(Fate.NOT_RUN);
+            }
         }
 
         @Test
