Take the ports of test processes from below the range of outgoing connections

Cause: a killed instance could not start again, 'Address already in use': an outgoing connection of another process had been given its port while it was down. AtMostOnceTest then waited for it in vain. Ruled out: the gateway itself, whose other three instances were ready.

--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/TestFleet.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/TestFleet.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -134,8 +133,8 @@
         int number = 10;
         for (DeploymentSpec.Place place : spec.instances()) {
             String ip = "127.0.1." + number++;
-            int caller = freePort(ip);
-            int control = freePort(ip);
+            int caller = Ports.free(ip);
+            int control = Ports.free(ip);
             InetSocketAddress callerLink = proxy.open(place.name(), new InetSocketAddress(ip, caller));
             InetSocketAddress controlLink = proxy.open(controlOf(place.name()), new InetSocketAddress(ip, control));
             members.put(
@@ -321,12 +320,6 @@
         proxy.healAll();
     }
 
-    private static int freePort(String ip) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/Cluster.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/Cluster.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +19,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.ibissaddle.proof.harness.Ports;
 import org.ibissaddle.standins.EngineOptions;
 import org.ibissaddle.standins.EngineStandin;
 import org.ibissaddle.standins.FaultProxy;
@@ -119,8 +119,8 @@
     }
 
     private void addInstance(String name) throws StandinStartException, IOException {
-        int callerPort = freePort();
-        int controlPort = freePort();
+        int callerPort = Ports.free("127.0.0.1");
+        int controlPort = Ports.free("127.0.0.1");
         InetSocketAddress proxied =
                 proxy.open(name, new InetSocketAddress(InetAddress.getLoopbackAddress(), callerPort));
         control.put(name, controlPort);
@@ -152,12 +152,6 @@
                 InstanceEntry.LIVE));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
