--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/Ports.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/Ports.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.proof.harness;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,12 +20,18 @@
     /** Returns a port that nobody listens on and that was not handed out before. */
     public static int free(String ip) throws IOException {
         for (int port = NEXT.getAndIncrement(); port < LAST; port = NEXT.getAndIncrement()) {
-            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
-                return probe.getLocalPort();
-            } catch (java.net.BindException e) {
-                continue;
+            if (isFree(ip, port)) {
+                return port;
             }
         }
         throw new IOException("no port from " + FIRST + " to " + LAST + " is free at " + ip);
     }
+
+    private static boolean isFree(String ip, int port) throws IOException {
+        try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+            return probe.isBound();
+        } catch (BindException e) {
+            return false;
+        }
+    }
 }
