--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/EngineRequests.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/EngineRequests.java
@@ -9,6 +9,7 @@
 import okhttp3.Request;
 import org.ibissaddle.daemon.backend.StreamClient;
 import org.ibissaddle.daemon.path.Headers;
+import org.ibissaddle.daemon.path.Hops;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.timeline.Recorder;
 import org.ibissaddle.placement.Work;
@@ -45,7 +46,7 @@
         headers.put(Headers.WORKSPACE, work.workspace().id().name());
         headers.put(Headers.DEADLINE, Long.toString(work.deadlineMs()));
         if (target.peer()) {
-            headers.put(Headers.HOP, hop());
+            headers.put(Headers.HOP, Hops.of(settings));
             headers.put(Recorder.HEADER, recorder.send().toString());
         }
         return StreamClient.post(
@@ -61,15 +62,11 @@
                 .url("http://" + target.address() + "/v1/streams")
                 .header(Headers.WORKSPACE, work.workspace().id().name())
                 .header("Last-Event-ID", lastId.orElse(""))
-                .header(Headers.HOP, hop())
+                .header(Headers.HOP, Hops.of(settings))
                 .header(Recorder.HEADER, recorder.send().toString())
                 .build();
     }
 
-    private String hop() {
-        return settings.instance() + ";" + settings.region();
-    }
-
     private byte[] behind(String text) {
         try {
             ObjectNode root = (ObjectNode) JSON.readTree(body);
