--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -11,6 +11,11 @@
     /** Time that a server is left out at first, milliseconds; doubles while it goes on failing. */
     private static final long EJECT_MS = 1_000;
 
+    /** Weight of a new pause between events: about the last ten count. */
+    private static final double GAP_SMOOTHING = 0.1;
+    /** Time after which an old pause says little of the present, milliseconds. */
+    private static final double GAP_MEMORY_MS = 1_500;
+
     private static final int MAX_EJECT_DOUBLINGS = 3;
     private static final double SMOOTHING = 0.2;
     private static final double EJECT_FAILURE_SHARE = 0.6;
@@ -29,6 +34,8 @@
     private int ejections;
     private double failureShare;
     private boolean unproven;
+    private double gapMs = -1;
+    private long gapAtMs;
 
     BackendServer(ServerEntry entry, long nowMs) {
         this.entry = entry;
@@ -166,6 +173,26 @@
         coldUntilMs = nowMs + forMs;
     }
 
+    /**
+     * Notes the pause between two events of a stream.
+     *
+     * @param pauseMs the pause, milliseconds
+     * @param nowMs current time, milliseconds
+     */
+    public void observedGap(long pauseMs, long nowMs) {
+        gapMs = gapMs < 0 ? pauseMs : gapMs + (pauseMs - gapMs) * GAP_SMOOTHING;
+        gapAtMs = nowMs;
+    }
+
+    /** Expected pause between events: what was seen lately, drifting back to that of a quiet engine. */
+    double expectedGapMs(double quietMs, long nowMs) {
+        if (gapMs < 0) {
+            return quietMs;
+        }
+        double weight = Math.exp(-(nowMs - gapAtMs) / GAP_MEMORY_MS);
+        return quietMs + (gapMs - quietMs) * weight;
+    }
+
     /** Notes that the server may have restarted. */
     public void doubt() {
         unproven = true;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -27,13 +27,17 @@
     private static final double OWNER_DISCOUNT = 0.5;
     /** Prompt tokens that a running request costs the others, as a weight between load and prefill. */
     private static final double TOKENS_PER_RUNNING = 60;
+    /** Unread prompts that an engine is sent at most, milliseconds of reading; the rest waits here, in order. */
+    private static final double MAX_BACKLOG_MS = 1_000;
+    /** Events of a middling answer, by which the regions are compared. */
+    private static final int TYPICAL_EVENTS = 10;
 
     private final Region region;
     private final Map<Zone, Region> regions;
     private final Map<ServerId, BackendServer> servers = new HashMap<>();
     private final Map<String, List<BackendServer>> byService = new HashMap<>();
     private final Set<Zone> evacuated = new HashSet<>();
-    private final Map<String, PrefillSpeed> speeds = new HashMap<>();
+    private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private Map<String, ServiceSpec> specs = Map.of();
 
     /**
@@ -153,7 +157,12 @@
      * @return predicted wait in milliseconds, empty when no server can be used
      */
     public Optional<Long> waitMs(String service, long nowMs) {
-        Choice choice = choose(service, Work.PLAIN, Set.of(), 1, nowMs);
+        int stride = spec(service)
+                .flatMap(ServiceSpec::engine)
+                .map(EngineSpec::tokensPerEvent)
+                .orElse(1);
+        Work typical = new Work("", 0, TYPICAL_EVENTS * stride, List.of());
+        Choice choice = choose(service, typical, Set.of(), 1, nowMs);
         return choice instanceof Choice.Found found ? Optional.of(found.waitMs()) : Optional.empty();
     }
 
@@ -184,7 +193,32 @@
      * @param tookMs time to the first piece, milliseconds
      */
     public void observedFirstPiece(String service, long tokens, long tookMs) {
-        speeds.computeIfAbsent(service, name -> new PrefillSpeed()).observe(tokens, tookMs);
+        speeds.computeIfAbsent(service, name -> new EngineSpeed()).observe(tokens, tookMs);
+    }
+
+    /**
+     * Learns how fast the servers of a service make events.
+     *
+     * @param server the server
+     * @param gapMs pause between two events of a stream, milliseconds
+     * @param nowMs current time, milliseconds
+     */
+    public void observedGap(BackendServer server, long gapMs, long nowMs) {
+        server.observedGap(gapMs, nowMs);
+        speeds.computeIfAbsent(server.entry().service(), name -> new EngineSpeed())
+                .observeGap((double) gapMs);
+    }
+
+    /**
+     * Predicts how long a server of a service takes to read a prompt that it doesn't keep.
+     *
+     * @param service the service
+     * @param work the request
+     * @return milliseconds
+     */
+    public long readMs(String service, Work work) {
+        EngineSpeed speed = speeds.get(service);
+        return speed == null ? 0 : Math.round(speed.readMs(work.promptTokens()));
     }
 
     private Choice best(String service, Work work, List<BackendServer> candidates, int sharers, long nowMs) {
@@ -192,15 +226,18 @@
         double coldRate =
                 COLD_SHARE * spec(service).map(ServiceSpec::coldPerSecond).orElse(0.0) / Math.max(1, sharers);
         BackendServer owner = work.prefix().isEmpty() ? null : owner(work, candidates);
+        EngineSpeed speed = speeds.computeIfAbsent(service, name -> new EngineSpeed());
         BackendServer best = null;
         double bestCost = Double.MAX_VALUE;
         for (BackendServer server : candidates) {
             boolean full = server.estimatedLoad(nowMs) >= server.entry().slots();
             boolean tooCold = server.isCold(nowMs) && !server.isColdPaceOpen(coldRate, nowMs);
-            if (full || tooCold || !fits(server, work, engine)) {
+            boolean tooMuchUnread =
+                    engine.isPresent() && speed.readMs((double) server.backlogTokens()) > MAX_BACKLOG_MS;
+            if (full || tooCold || tooMuchUnread || !fits(server, work, engine)) {
                 continue;
             }
-            double cost = cost(server, work, server == owner, nowMs);
+            double cost = cost(server, work, server == owner, engine, speed, nowMs);
             if (cost < bestCost) {
                 best = server;
                 bestCost = cost;
@@ -209,20 +246,30 @@
         if (best == null) {
             return new Choice.Busy("all servers of service " + service + " are full or cold");
         }
-        long waitMs = engine.isPresent()
-                ? speeds.computeIfAbsent(service, name -> new PrefillSpeed())
-                        .predictMs(best.backlogTokens() + best.missingTokens(work))
-                : 0;
+        long waitMs = engine.isPresent() ? Math.round(wait(best, work, speed, nowMs)) : 0;
         return new Choice.Found(best, waitMs);
     }
 
-    private static double cost(BackendServer server, Work work, boolean isOwner, long nowMs) {
+    /** Time that a middling answer would take at a server, after its prompt has been read, milliseconds. */
+    private static double wait(BackendServer server, Work work, EngineSpeed speed, long nowMs) {
+        double unread = (double) server.backlogTokens() + server.missingTokens(work);
+        return speed.readMs(unread) + TYPICAL_EVENTS * server.expectedGapMs(speed.quietGapMs(), nowMs);
+    }
+
+    /** Delay that a request would meet and cause at a server, milliseconds; the lower, the better. */
+    private static double cost(
+            BackendServer server,
+            Work work,
+            boolean isOwner,
+            Optional<EngineSpec> engine,
+            EngineSpeed speed,
+            long nowMs) {
         int load = server.estimatedLoad(nowMs);
-        if (work.promptTokens() == 0) {
+        if (engine.isEmpty()) {
             return (double) (load + 1) / Math.max(1, server.entry().slots());
         }
         double missing = server.missingTokens(work) * (isOwner ? OWNER_DISCOUNT : 1);
-        return server.backlogTokens() + missing + load * TOKENS_PER_RUNNING;
+        return speed.readMs(server.backlogTokens() + missing + load * TOKENS_PER_RUNNING);
     }
 
     private static boolean fits(BackendServer server, Work work, Optional<EngineSpec> engine) {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
@@ -1,5 +1,6 @@
 package org.ibissaddle.peer;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
@@ -40,6 +41,31 @@
         services = Map.copyOf(services);
     }
 
+    /**
+     * Returns this state with another load of a service.
+     *
+     * @param service the service
+     * @param load its load
+     * @return the new state
+     */
+    public PeerState withLoad(String service, ServiceLoad load) {
+        Map<String, ServiceLoad> loads = new HashMap<>(services);
+        loads.put(service, load);
+        return new PeerState(
+                id,
+                incarnation,
+                sequence,
+                region,
+                zone,
+                callerAddress,
+                peerAddress,
+                ready,
+                draining,
+                revision,
+                platformReachable,
+                loads);
+    }
+
     /**
      * Tells whether this state is newer than another of the same instance.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/Peers.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/Peers.java
@@ -70,6 +70,25 @@
                 : one);
     }
 
+    /**
+     * Notes that an instance refused a request; until it says something new, its region counts as full.
+     *
+     * @param peer its address for other instances
+     * @param service the service
+     */
+    public void refused(Address peer, String service) {
+        known.replaceAll((id, one) -> {
+            ServiceLoad load = one.state.services().get(service);
+            if (!one.state.peerAddress().equals(peer) || load == null) {
+                return one;
+            }
+            return new Known(
+                    one.state.withLoad(service, new ServiceLoad(0, load.waitMs())),
+                    one.saidAtMs,
+                    one.unreachableUntilMs);
+        });
+    }
+
     /**
      * Returns the instances that are presumably running.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/EngineSpec.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/EngineSpec.java
@@ -5,5 +5,6 @@
  *
  * @param slots requests that it batches at once
  * @param kvTokens tokens that its KV cache holds
+ * @param tokensPerEvent output tokens in one event of a stream
  */
-public record EngineSpec(int slots, long kvTokens) {}
+public record EngineSpec(int slots, long kvTokens, int tokensPerEvent) {}
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendsTest.java
@@ -0,0 +1,192 @@
+package org.ibissaddle.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.ibissaddle.catalog.Fact;
+import org.ibissaddle.catalog.ServerEntry;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.route.CallerLimits;
+import org.ibissaddle.route.Configuration;
+import org.ibissaddle.route.EngineSpec;
+import org.ibissaddle.route.ServiceSpec;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BackendsTest {
+    private static final Zone NEAR = new Zone("north-a");
+    private static final Zone FAR = new Zone("south-a");
+    private static final String ENGINES = "engines";
+    private static final String LEDGER = "ledger";
+    private static final long COLD_MS = 3_000;
+    private static final double COLD_PER_SECOND = 3.5;
+
+    private final Backends backends =
+            new Backends(new Region("north"), Map.of(NEAR, new Region("north"), FAR, new Region("south")));
+
+    @BeforeEach
+    void declareServices() {
+        ServiceSpec engines = new ServiceSpec(
+                ENGINES, "/health", 100, COLD_MS, COLD_PER_SECOND, Optional.of(new EngineSpec(64, 300_000, 5)));
+        ServiceSpec ledger = new ServiceSpec(LEDGER, "/health", 100, 0, 0, Optional.empty());
+        backends.learn(
+                new Fact.ConfigurationPublished(
+                        new Configuration(1, List.of(), List.of(engines, ledger), CallerLimits.DEFAULT)),
+                0);
+    }
+
+    private void publish(String id, String service, Zone zone, boolean draining, long coldForMs) {
+        ServerEntry entry = new ServerEntry(
+                new ServerId(id),
+                service,
+                Address.parse("10.0.0.1:" + (1_000 + Math.floorMod(id.hashCode(), 9_000))),
+                zone,
+                2,
+                draining,
+                coldForMs,
+                OptionalLong.empty(),
+                OptionalLong.empty());
+        backends.learn(new Fact.ServerPublished(entry), 0);
+    }
+
+    private Choice choose(String service, Work work, long nowMs) {
+        return backends.choose(service, work, Set.of(), 1, nowMs);
+    }
+
+    private BackendServer found(String service, Work work, long nowMs) {
+        assertThat(choose(service, work, nowMs)).isInstanceOf(Choice.Found.class);
+        return ((Choice.Found) choose(service, work, nowMs)).server();
+    }
+
+    @Nested
+    class Eligibility {
+        @Test
+        void shouldUseServersOfTheOwnRegionOnly() {
+            publish("far", LEDGER, FAR, false, 0);
+
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Absent.class);
+        }
+
+        @Test
+        void shouldSendNothingToALeavingServer() {
+            publish("s", LEDGER, NEAR, false, 0);
+            publish("s", LEDGER, NEAR, true, 0);
+
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Absent.class);
+        }
+
+        @Test
+        void shouldSendNothingIntoAnEvacuatedZone() {
+            publish("s", LEDGER, NEAR, false, 0);
+            backends.learn(new Fact.EvacuationRequested(NEAR), 0);
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Absent.class);
+
+            backends.learn(new Fact.EvacuationWithdrawn(NEAR), 0);
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Found.class);
+        }
+
+        @Test
+        void shouldSendNothingToADoubtedServerUntilItIsProven() {
+            publish("s", LEDGER, NEAR, false, 0);
+            BackendServer server = found(LEDGER, Work.PLAIN, 0);
+            server.doubt();
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Busy.class);
+
+            server.proven(0, 0);
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Found.class);
+        }
+
+        @Test
+        void shouldFillNoServerBeyondItsSlots() {
+            publish("s", LEDGER, NEAR, false, 0);
+            for (int i = 0; i < 2; i++) {
+                found(LEDGER, Work.PLAIN, 0).place(Work.PLAIN, Long.MAX_VALUE, 0);
+            }
+
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Busy.class);
+        }
+
+        @Test
+        void shouldUseEjectedServersWhenAllAre() {
+            publish("s", LEDGER, NEAR, false, 0);
+            BackendServer server = found(LEDGER, Work.PLAIN, 0);
+            while (!server.isEjected(0)) {
+                server.failed(0);
+            }
+
+            assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Found.class);
+        }
+    }
+
+    @Nested
+    class ColdServers {
+        @Test
+        void shouldStayWithinThePaceInAnySecondWhateverOthersSend() {
+            publish("s", ENGINES, NEAR, false, COLD_MS);
+            int sharers = 2;
+            int sent = 0;
+            for (long nowMs = 0; nowMs < 1_000; nowMs += 10) {
+                if (backends.choose(ENGINES, Work.PLAIN, Set.of(), sharers, nowMs) instanceof Choice.Found choice) {
+                    choice.server().place(Work.PLAIN, Long.MAX_VALUE, nowMs).ended();
+                    sent++;
+                }
+            }
+            assertThat(sent * sharers).isBetween(sharers, (int) Math.floor(COLD_PER_SECOND * 1.5 + 3));
+        }
+
+        @Test
+        void shouldTreatServersOfAReturningZoneAsCold() {
+            publish("s", ENGINES, NEAR, false, 0);
+            backends.learn(new Fact.EvacuationRequested(NEAR), 10_000);
+            backends.learn(new Fact.EvacuationWithdrawn(NEAR), 20_000);
+
+            assertThat(found(ENGINES, Work.PLAIN, 20_000).isCold(20_000 + COLD_MS - 1))
+                    .isTrue();
+        }
+    }
+
+    @Nested
+    class Prefixes {
+        @Test
+        void shouldReturnToTheServerThatKeepsTheSharedPart() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            Work dossier = new Work("m", 17_000, 100, List.of(new PromptPart("shared", 13_300)));
+            BackendServer first = found(ENGINES, dossier, 0);
+            first.place(dossier, 300_000, 0).ended();
+
+            assertThat(found(ENGINES, dossier, 0)).isSameAs(first);
+            assertThat(first.missingTokens(dossier)).isEqualTo(3_700);
+        }
+
+        @Test
+        void shouldForgetThemWhenTheServerRestarts() {
+            publish("a", ENGINES, NEAR, false, 0);
+            Work dossier = new Work("m", 17_000, 100, List.of(new PromptPart("shared", 13_300)));
+            BackendServer server = found(ENGINES, dossier, 0);
+            server.place(dossier, 300_000, 0).ended();
+
+            ServerEntry moved = new ServerEntry(
+                    new ServerId("a"),
+                    ENGINES,
+                    Address.parse("10.0.0.9:99"),
+                    NEAR,
+                    2,
+                    false,
+                    0,
+                    OptionalLong.empty(),
+                    OptionalLong.empty());
+            backends.learn(new Fact.ServerPublished(moved), 0);
+
+            assertThat(server.missingTokens(dossier)).isEqualTo(17_000);
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/catalog/CatalogTest.java
@@ -0,0 +1,133 @@
+package org.ibissaddle.catalog;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.route.CallerLimits;
+import org.ibissaddle.route.Configuration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CatalogTest {
+    private static final ServerId SERVER = new ServerId("s1");
+
+    private final Catalog catalog = new Catalog(CatalogTest::read);
+
+    /** Reads keys "server", "configuration" (its value is the version) and "evacuation". */
+    private static Fact read(Item item) {
+        return switch (item.key()) {
+            case "server" ->
+                item.isRemoved()
+                        ? new Fact.ServerRemoved(SERVER)
+                        : new Fact.ServerPublished(new ServerEntry(
+                                SERVER,
+                                "svc",
+                                Address.parse("10.0.0.1:80"),
+                                new Zone("north-a"),
+                                6,
+                                item.value().equals("draining"),
+                                0,
+                                OptionalLong.empty(),
+                                OptionalLong.empty()));
+            case "configuration" ->
+                new Fact.ConfigurationPublished(
+                        new Configuration(Long.parseLong(item.value()), List.of(), List.of(), CallerLimits.DEFAULT));
+            default ->
+                item.isRemoved()
+                        ? new Fact.EvacuationWithdrawn(new Zone("north-a"))
+                        : new Fact.EvacuationRequested(new Zone("north-a"));
+        };
+    }
+
+    private static Item item(String key, String value, long revision) {
+        return new Item(key, value, revision);
+    }
+
+    @Nested
+    class Order {
+        @Test
+        void shouldNotLetAnOlderRevisionReplaceANewerOne() {
+            catalog.apply(List.of(item("server", "draining", 9)), 0);
+
+            assertThat(catalog.apply(List.of(item("server", "ready", 8)), 0)).isEmpty();
+            assertThat(catalog.servers().get(SERVER).draining()).isTrue();
+        }
+
+        @Test
+        void shouldNeverGoBackToALowerConfiguration() {
+            catalog.apply(List.of(item("configuration", "5", 3)), 0);
+
+            assertThat(catalog.apply(List.of(item("configuration", "4", 7)), 0)).isEmpty();
+            assertThat(catalog.configuration()).map(Configuration::version).hasValue(5L);
+        }
+
+        @Test
+        void shouldNotReviveARemovedServerByAnOldValue() {
+            catalog.apply(List.of(item("server", "ready", 3), item("server", null, 5)), 0);
+
+            catalog.apply(List.of(item("server", "ready", 4)), 0);
+
+            assertThat(catalog.servers()).isEmpty();
+        }
+    }
+
+    @Nested
+    class Lists {
+        @Test
+        void shouldRemoveWhatAWholeListLacks() {
+            catalog.apply(List.of(item("server", "ready", 3), item("evacuation", "{}", 4)), 0);
+
+            catalog.replaceAll(List.of(item("evacuation", "{}", 4)), 10, 0);
+
+            assertThat(catalog.servers()).isEmpty();
+            assertThat(catalog.isEvacuated(new Zone("north-a"))).isTrue();
+        }
+
+        @Test
+        void shouldKeepWhatIsNewerThanTheList() {
+            catalog.apply(List.of(item("server", "ready", 12)), 0);
+
+            catalog.replaceAll(List.of(), 10, 0);
+
+            assertThat(catalog.servers()).containsKey(SERVER);
+        }
+    }
+
+    @Nested
+    class Outages {
+        @Test
+        void shouldKeepAServerWhoseEntryExpiredUntilTheGraceIsOver() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+            catalog.platformReturned(1_000);
+
+            catalog.apply(List.of(item("server", null, 5)), 1_100);
+            assertThat(catalog.servers()).containsKey(SERVER);
+            assertThat(catalog.expire(2_000)).isEmpty();
+
+            assertThat(catalog.expire(1_000 + Catalog.RETURN_GRACE_MS)).hasSize(1);
+            assertThat(catalog.servers()).isEmpty();
+        }
+
+        @Test
+        void shouldKeepAServerThatReturnsInTime() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+            catalog.platformReturned(1_000);
+            catalog.apply(List.of(item("server", null, 5), item("server", "ready", 6)), 1_100);
+
+            assertThat(catalog.expire(9_000)).isEmpty();
+            assertThat(catalog.servers()).containsKey(SERVER);
+        }
+
+        @Test
+        void shouldRemoveAServerAtOnceInCalmTimes() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+
+            assertThat(catalog.apply(List.of(item("server", null, 5)), 50_000)).hasSize(1);
+            assertThat(catalog.servers()).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryChoiceTest.java
@@ -0,0 +1,94 @@
+package org.ibissaddle.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EntryChoiceTest {
+    private static final Region NORTH = new Region("north");
+    private static final Region SOUTH = new Region("south");
+    private static final Region EAST = new Region("east");
+
+    private static PeerState instance(String name, Region region, boolean ready, boolean draining) {
+        Address address = Address.parse("10.0.0." + Math.floorMod(name.hashCode(), 250) + ":80");
+        return new PeerState(
+                new InstanceId(name),
+                1,
+                1,
+                region,
+                new Zone(region.name() + "-a"),
+                address,
+                address,
+                ready,
+                draining,
+                0,
+                true,
+                Map.of());
+    }
+
+    private static List<Address> choose(PeerState... instances) {
+        return EntryChoice.choose(List.of(instances), NORTH, new Zone("north-a"), Set.of(SOUTH), 64);
+    }
+
+    @Nested
+    class Preference {
+        private final PeerState near = instance("near", NORTH, true, false);
+        private final PeerState home = instance("home", SOUTH, true, false);
+        private final PeerState far = instance("far", EAST, true, false);
+
+        @Test
+        void shouldNameTheCallersRegionFirst() {
+            assertThat(choose(far, home, near)).containsExactly(near.callerAddress());
+        }
+
+        @Test
+        void shouldNameHomeRegionsBeforeOthers() {
+            assertThat(choose(far, home)).containsExactly(home.callerAddress());
+        }
+
+        @Test
+        void shouldNameALeavingInstanceBeforeOneOfARegionThatIsNoHome() {
+            PeerState leaving = instance("leaving", NORTH, false, true);
+
+            assertThat(choose(far, leaving)).containsExactly(leaving.callerAddress());
+            assertThat(choose(far, home, leaving)).containsExactly(home.callerAddress());
+        }
+
+        @Test
+        void shouldNameWhatIsLeftWhenNothingElseIs() {
+            assertThat(choose(far)).containsExactly(far.callerAddress());
+            assertThat(choose()).isEmpty();
+        }
+    }
+
+    @Nested
+    class Liveness {
+        private final Peers peers = new Peers(new InstanceId("self"));
+
+        @Test
+        void shouldLeaveOutAnInstanceThatFellSilent() {
+            peers.learn(new Rumour(instance("other", NORTH, true, false), 0), 0);
+
+            assertThat(peers.alive(Peers.SILENT_MS)).hasSize(1);
+            assertThat(peers.alive(Peers.SILENT_MS + 1)).isEmpty();
+            assertThat(peers.deploymentSize()).isEqualTo(2);
+        }
+
+        @Test
+        void shouldNotTakeAnOldMessageForNews() {
+            PeerState state = instance("other", NORTH, true, false);
+            peers.learn(new Rumour(state, 0), 0);
+
+            assertThat(peers.learn(new Rumour(state, 0), 5_000)).isFalse();
+            assertThat(peers.alive(5_000)).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/route/ConfigurationTest.java
@@ -0,0 +1,89 @@
+package org.ibissaddle.route;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.ibissaddle.id.Region;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationTest {
+    private static Route route(String name, String prefix, RequestKind kind, boolean resumable) {
+        return new Route(
+                name,
+                "Shop.example",
+                prefix,
+                kind,
+                1_000,
+                300,
+                0,
+                List.of(new WeightedService("a", 90), new WeightedService("b", 10)),
+                2,
+                resumable,
+                Set.of(new Region("north")));
+    }
+
+    private final Configuration configuration = new Configuration(
+            7,
+            List.of(
+                    route("short", "/lots/", RequestKind.IDEMPOTENT, false),
+                    route("long", "/lots/old/", RequestKind.NON_IDEMPOTENT, false)),
+            List.of(),
+            CallerLimits.DEFAULT);
+
+    @Nested
+    class Routes {
+        @Test
+        void shouldPreferTheLongestPrefix() {
+            assertThat(configuration.route("shop.example:80", "/lots/old/7"))
+                    .map(Route::name)
+                    .hasValue("long");
+            assertThat(configuration.route("SHOP.EXAMPLE", "/lots/7"))
+                    .map(Route::name)
+                    .hasValue("short");
+        }
+
+        @Test
+        void shouldFindNothingForAnotherHostOrPath() {
+            assertThat(configuration.route("other.example", "/lots/7")).isEmpty();
+            assertThat(configuration.route("shop.example", "/lot")).isEmpty();
+        }
+
+        @Test
+        void shouldServeBoundRequestsAtHomeOnly() {
+            Route bound = configuration.route("shop.example", "/lots/").orElseThrow();
+
+            assertThat(bound.allows(new Region("north"))).isTrue();
+            assertThat(bound.allows(new Region("south"))).isFalse();
+        }
+    }
+
+    @Nested
+    class Repeating {
+        @Test
+        void shouldRepeatStreamsOnlyWhereTheyResume() {
+            assertThat(route("r", "/", RequestKind.STREAMING, false).isRepeatable())
+                    .isFalse();
+            assertThat(route("r", "/", RequestKind.STREAMING, true).isRepeatable())
+                    .isTrue();
+            assertThat(route("r", "/", RequestKind.NON_IDEMPOTENT, true).isRepeatable())
+                    .isFalse();
+        }
+    }
+
+    @Nested
+    class Splits {
+        @Test
+        void shouldSplitByWeightAndAlikeForTheSameRequest() {
+            Route split = route("r", "/", RequestKind.IDEMPOTENT, false);
+            int toA = 0;
+            for (int i = 0; i < 10_000; i++) {
+                String id = "request-" + i;
+                assertThat(split.serviceFor(id)).isEqualTo(split.serviceFor(id));
+                toA += split.serviceFor(id).equals("a") ? 1 : 0;
+            }
+            assertThat(toA).isBetween(8_800, 9_200);
+        }
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -31,6 +31,7 @@
     private HttpClient.Call call;
     private HttpResponse head;
     private Optional<Rejection> rejection = Optional.empty();
+    private long lastPieceMs;
     private boolean over;
 
     private record Rejection(Evidence evidence, boolean arrived, String reason) {}
@@ -104,6 +105,7 @@
             return;
         }
         firstPiece();
+        notePace();
         if (!exchange.relay().piece(piece)) {
             broken("events that don't follow the last one");
             return;
@@ -169,6 +171,7 @@
         boolean notRun = answer.headers().contains(Headers.NOT_RUN);
         boolean own = server.isEmpty() && answer.headers().contains(InternalHeaders.OUTCOME);
         if (own) {
+            core.peers().refused(endpoint.address(), exchange.service());
             boolean proof = InternalHeaders.NOT_RUN.equals(answer.headers().get(InternalHeaders.OUTCOME));
             return Optional.of(new Rejection(
                     proof ? Evidence.NOT_RUN : Evidence.MAY_HAVE_RUN, !proof, "instance answered " + status));
@@ -231,6 +234,14 @@
         });
     }
 
+    private void notePace() {
+        long nowMs = core.nowMs();
+        if (lastPieceMs > 0 && work.promptTokens() > 0) {
+            server.ifPresent(from -> core.backends().observedGap(from, nowMs - lastPieceMs, nowMs));
+        }
+        lastPieceMs = nowMs;
+    }
+
     private void unreachable() {
         if (server.isPresent()) {
             core.healthChecks().doubt(server.get());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -42,6 +42,9 @@
     /** How much sooner another region must answer to be worth the way there, milliseconds. */
     private static final long FORWARD_MARGIN_MS = 150;
 
+    /** Least urgent rank that a server knows. */
+    private static final int LOWEST_PRIORITY = 9;
+
     private final GatewayCore core;
     private final IncomingRequest request;
     private final Inbound inbound;
@@ -149,7 +152,8 @@
         Choice choice = local ? choose() : new Choice.Absent("this region is no home of route " + route.name());
         switch (choice) {
             case Choice.Found found -> {
-                Optional<PeerState> faster = peerWithRoom(found.waitMs() - FORWARD_MARGIN_MS);
+                long readMs = core.backends().readMs(service, work);
+                Optional<PeerState> faster = peerWithRoom(found.waitMs() - readMs - FORWARD_MARGIN_MS);
                 if (faster.isPresent()) {
                     sendToPeer(faster.get());
                 } else {
@@ -221,6 +225,9 @@
 
     private HttpRequest head() {
         HttpHeaders headers = RequestHeaders.forwarded(request);
+        if (work.promptTokens() > 0) {
+            headers.set(Headers.PRIORITY, Math.min(LOWEST_PRIORITY, route.priority()));
+        }
         headers.set(Headers.DEADLINE_MS, Math.max(1, deadlineMs - core.nowMs()));
         if (!relay.lastEventId().isEmpty()) {
             headers.set(Headers.LAST_EVENT_ID, relay.lastEventId());
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -0,0 +1,298 @@
+package org.ibissaddle.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The whole path of one instance, with stand-ins for the platform's store and backend servers. */
+class GatewayTest {
+    private static final String CONFIGURATION = """
+            {"version":%d,"routes":[
+             {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":3000,
+              "targetLatencyMs":300,"priority":2,"service":"ledger","maxAttempts":2},
+             {"name":"any","host":"h.example","pathPrefix":"/any/","kind":"idempotent","timeoutMs":3000,
+              "targetLatencyMs":300,"priority":2,"service":"ledger","maxAttempts":2},
+             {"name":"resumed","host":"h.example","pathPrefix":"/resumed/","kind":"streaming","timeoutMs":3000,
+              "targetLatencyMs":300,"priority":0,"service":"ledger","maxAttempts":2,"resumable":true},
+             {"name":"elsewhere","host":"h.example","pathPrefix":"/elsewhere/","kind":"idempotent","timeoutMs":3000,
+              "targetLatencyMs":300,"priority":0,"service":"ledger","maxAttempts":2,"homeRegions":["south"]}],
+             "services":[{"name":"ledger","healthPath":"/healthz"}],"limits":{}}""";
+    private static final String ENTRY = """
+            {"service":"ledger","address":"%s","zone":"north-a","slots":6,"state":"%s","coldLeftMs":0,"seq":1}""";
+
+    private PlatformDouble platform;
+    private ServerDouble first;
+    private ServerDouble second;
+    private Gateway gateway;
+    private Address caller;
+    private Address directory;
+
+    @BeforeEach
+    void start() throws IOException, InterruptedException {
+        platform = new PlatformDouble();
+        first = new ServerDouble("s1");
+        second = new ServerDouble("s2");
+        platform.put("op/config", CONFIGURATION.formatted(1));
+        platform.put("servers/s1", ENTRY.formatted(first.address(), "ready"));
+        caller = freeAddress();
+        directory = freeAddress();
+        GatewaySettings settings = new GatewaySettings(
+                new InstanceId("north-1"),
+                new Region("north"),
+                new Zone("north-a"),
+                Map.of(new Zone("north-a"), new Region("north")),
+                caller,
+                directory,
+                directory,
+                freeAddress(),
+                0,
+                platform.address(),
+                List.of(),
+                new GatewaySettings.Bounds(0.2, 10_000, 1_000, 4_000, 5));
+        gateway = Gateway.start(
+                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
+        while (!ask(directory, "GET /readyz HTTP/1.1\r\nConnection: close\r\n\r\n")
+                .startsWith("HTTP/1.1 200")) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        gateway.close();
+        platform.close();
+        first.close();
+        second.close();
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0)) {
+            return new Address("127.0.0.1", probe.getLocalPort());
+        }
+    }
+
+    private static String ask(Address to, String request) throws IOException {
+        try (Socket socket = new Socket(to.host(), to.port())) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    private static String readAll(InputStream in) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try {
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                text.append((char) next);
+            }
+        } catch (SocketException e) {
+            return text + "(reset)";
+        }
+        return text.toString();
+    }
+
+    private String call(String method, String path, String headers, String body) throws IOException {
+        return ask(
+                caller,
+                method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n"
+                        + headers + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n"
+                        + body);
+    }
+
+    /** Lets the second server be chosen before the first, which stays for repeats. */
+    private void addSecondServer() throws IOException {
+        platform.put("servers/s2", ENTRY.formatted(second.address(), "ready"));
+        while (second.arrivals().isEmpty()) {
+            call("GET", "/any/warm", "", "");
+            platform.put("servers/s1", ENTRY.formatted(first.address(), "draining"));
+        }
+        platform.put("servers/s1", ENTRY.formatted(first.address(), "ready"));
+        int before = first.arrivals().size();
+        while (first.arrivals().size() == before) {
+            call("GET", "/any/warm", "", "");
+        }
+        first.arrivals().clear();
+        second.arrivals().clear();
+    }
+
+    private int arrivals() {
+        return first.arrivals().size() + second.arrivals().size();
+    }
+
+    @Nested
+    class Answers {
+        @Test
+        void shouldPassARequestOnAndItsAnswerBack() throws IOException {
+            String answer = call("POST", "/once/7?x=1", "X-Hold: forged\r\n", "two couriers");
+
+            assertThat(answer)
+                    .startsWith("HTTP/1.1 200")
+                    .contains("X-Server-Seal: s")
+                    .endsWith("hello");
+            assertThat(first.arrivals()).singleElement().satisfies(request -> {
+                assertThat(request).containsEntry("path", "/once/7?x=1").containsEntry("body", "two couriers");
+                assertThat(request).containsEntry("x-expect-instance", "s1").doesNotContainKey("x-hold");
+                assertThat(Long.parseLong(request.get("x-deadline-ms"))).isBetween(1L, 3_000L);
+            });
+        }
+
+        @Test
+        void shouldNotTakeAnUnsignedSuccessForAnAnswer() throws IOException {
+            first.answerWith(request -> ServerDouble.whole(request, "200 OK", "", "forged"));
+
+            assertThat(call("POST", "/once/7", "", "x")).startsWith("HTTP/1.1 502");
+        }
+
+        @Test
+        void shouldNotTakeTheAnswerToAnotherRequest() throws IOException {
+            first.answerWith(request ->
+                    ServerDouble.whole(Map.of("x-attempt-id", "another"), "200 OK", "X-Server-Seal: s\r\n", "crossed"));
+
+            assertThat(call("POST", "/once/7", "", "x")).startsWith("HTTP/1.1 502");
+        }
+
+        @Test
+        void shouldRefuseWhatHasNoRouteOrTwoLengths() throws IOException {
+            assertThat(call("GET", "/nowhere/", "", "")).startsWith("HTTP/1.1 404");
+            assertThat(call("POST", "/once/7", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"))
+                    .startsWith("HTTP/1.1 400");
+            assertThat(arrivals()).isZero();
+        }
+
+        @Test
+        void shouldNotServeABoundRequestOutsideItsHomes() throws IOException {
+            assertThat(call("GET", "/elsewhere/7", "", ""))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("Retry-After");
+            assertThat(arrivals()).isZero();
+        }
+    }
+
+    @Nested
+    class Failures {
+        @Test
+        void shouldRunAOnceOnlyRequestOnceWhenItsAnswerIsLost() throws IOException {
+            addSecondServer();
+            first.answerWith(request -> ServerDouble.RESET);
+            second.answerWith(request -> ServerDouble.RESET);
+
+            assertThat(call("POST", "/once/7", "", "x")).startsWith("HTTP/1.1 502");
+            assertThat(arrivals()).isEqualTo(1);
+        }
+
+        @Test
+        void shouldSendARejectedOnceOnlyRequestToAnotherServer() throws IOException {
+            addSecondServer();
+            second.answerWith(
+                    request -> ServerDouble.whole(request, "503 Service Unavailable", "X-Not-Executed: 1\r\n", ""));
+            first.answerWith(
+                    request -> ServerDouble.whole(request, "503 Service Unavailable", "X-Not-Executed: 1\r\n", ""));
+
+            assertThat(call("POST", "/once/7", "", "x")).startsWith("HTTP/1.1 503");
+            assertThat(arrivals()).isEqualTo(2);
+        }
+
+        @Test
+        void shouldRepeatAnIdempotentRequestAndStopAtItsAttempts() throws IOException {
+            addSecondServer();
+            first.answerWith(request -> ServerDouble.RESET);
+            second.answerWith(request -> ServerDouble.RESET);
+
+            assertThat(call("GET", "/any/7", "", "")).startsWith("HTTP/1.1 502");
+            assertThat(arrivals()).isEqualTo(2);
+        }
+
+        @Test
+        void shouldPassOnTheServersOwnFailure() throws IOException {
+            first.answerWith(request ->
+                    ServerDouble.whole(request, "500 Internal Server Error", "X-Server-Seal: s\r\n", "broken"));
+
+            assertThat(call("POST", "/once/7", "", "x"))
+                    .startsWith("HTTP/1.1 500")
+                    .endsWith("broken");
+        }
+    }
+
+    @Nested
+    class Streams {
+        private static final String HEAD = """
+                HTTP/1.1 200 OK\r
+                X-Attempt-Id: 7\r
+                X-Server-Seal: s\r
+                Content-Type: text/event-stream\r
+                Transfer-Encoding: chunked\r
+                \r
+                """;
+
+        private String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        }
+
+        /** Serves events 1 to 3 from where it is asked to go on, cut in the middle of an event when it begins. */
+        private String events(Map<String, String> request) {
+            String last = request.get("last-event-id");
+            if (last == null) {
+                return HEAD + chunk("id: 1\ndata: a\n\nid: 2\nda") + "zz\r\n";
+            }
+            return HEAD + chunk("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") + "0\r\n\r\n";
+        }
+
+        @Test
+        void shouldGoOnAfterTheLastWholeEventAtAnotherServer() throws IOException {
+            addSecondServer();
+            first.answerWith(this::events);
+            second.answerWith(this::events);
+
+            String answer = call("GET", "/resumed/7", "", "");
+
+            assertThat(answer.replaceAll("\r\n[0-9a-f]+\r\n", ""))
+                    .contains("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+            assertThat(answer).endsWith("0\r\n\r\n").doesNotContain("(reset)");
+            assertThat(arrivals()).isEqualTo(2);
+        }
+    }
+
+    @Nested
+    class Changes {
+        @Test
+        void shouldNameItselfInTheDirectoryUntilItLeaves() throws IOException, InterruptedException {
+            String question =
+                    "GET /resolve?name=h.example&region=north&zone=north-a HTTP/1.1\r\nConnection: close\r\n\r\n";
+            assertThat(ask(directory, question)).contains("\"" + caller + "\"");
+
+            gateway.drain();
+
+            assertThat(ask(directory, "GET /readyz HTTP/1.1\r\nConnection: close\r\n\r\n"))
+                    .startsWith("HTTP/1.1 503");
+        }
+
+        @Test
+        void shouldSendNothingMoreToALeavingServer() throws IOException {
+            platform.put("servers/s1", ENTRY.formatted(first.address(), "draining"));
+            String answer = call("GET", "/any/7", "", "");
+            while (!answer.startsWith("HTTP/1.1 503")) {
+                answer = call("GET", "/any/7", "", "");
+            }
+            int before = arrivals();
+
+            assertThat(call("GET", "/any/7", "", "")).startsWith("HTTP/1.1 503");
+            assertThat(arrivals()).isEqualTo(before);
+        }
+    }
+}
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/ServerDouble.java
@@ -0,0 +1,119 @@
+package org.ibissaddle.daemon.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
+import org.ibissaddle.id.Address;
+
+/** Takes the place of a backend server: answers with exact bytes, or cuts the connection, and keeps what arrived. */
+final class ServerDouble implements AutoCloseable {
+    /** An answer that stands for a reset of the connection. */
+    static final String RESET = "";
+
+    private final ServerSocket listener;
+    private final String id;
+    private final Queue<Map<String, String>> arrivals = new ConcurrentLinkedQueue<>();
+    private volatile Function<Map<String, String>, String> answers;
+
+    ServerDouble(String id) throws IOException {
+        this.id = id;
+        this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this.answers = request -> whole(request, "200 OK", "X-Server-Seal: s\r\n", "hello");
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    /** A whole answer that echoes the request's id. */
+    static String whole(Map<String, String> request, String status, String headers, String body) {
+        return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + request.get("x-attempt-id") + "\r\n" + headers
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    void answerWith(Function<Map<String, String>, String> next) {
+        answers = next;
+    }
+
+    Queue<Map<String, String>> arrivals() {
+        return arrivals;
+    }
+
+    Address address() {
+        return new Address("127.0.0.1", listener.getLocalPort());
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                Thread.ofVirtual().start(() -> serve(socket));
+            }
+        } catch (SocketException e) {
+            arrivals.clear();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the double can't listen", e);
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (Map<String, String> request = read(in); request != null; request = read(in)) {
+                String answer = request.get("path").equals("/healthz")
+                        ? whole(request, "200 OK", "X-Instance-Id: " + id + "\r\n", "")
+                        : record(request);
+                if (answer.equals(RESET)) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        } catch (IOException e) {
+            // The gateway closed the connection, which is what it does with one that it gave up.
+            arrivals.size();
+        }
+    }
+
+    private String record(Map<String, String> request) {
+        arrivals.add(request);
+        return answers.apply(request);
+    }
+
+    private static Map<String, String> read(BufferedReader in) throws IOException {
+        String line = in.readLine();
+        if (line == null) {
+            return null;
+        }
+        Map<String, String> request = new TreeMap<>();
+        request.put("path", line.split(" ", -1)[1]);
+        for (String header = in.readLine(); header != null && !header.isEmpty(); header = in.readLine()) {
+            int colon = header.indexOf(':');
+            request.put(
+                    header.substring(0, colon).toLowerCase(java.util.Locale.ROOT),
+                    header.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(request.getOrDefault("content-length", "0"));
+        char[] body = new char[length];
+        int read = 0;
+        while (read < length) {
+            read += in.read(body, read, length - read);
+        }
+        request.put("body", new String(body));
+        return request;
+    }
+}
