--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -24,7 +25,7 @@
 /** The whole path of one instance, with stand-ins for the platform's store and backend servers. */
 class GatewayTest {
     private static final String CONFIGURATION = """
-            {"version":%d,"routes":[
+            {"version":1,"routes":[
              {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":3000,
               "targetLatencyMs":300,"priority":2,"service":"ledger","maxAttempts":2},
              {"name":"any","host":"h.example","pathPrefix":"/any/","kind":"idempotent","timeoutMs":3000,
@@ -49,7 +50,7 @@
         platform = new PlatformDouble();
         first = new ServerDouble("s1");
         second = new ServerDouble("s2");
-        platform.put("op/config", CONFIGURATION.formatted(1));
+        platform.put("op/config", CONFIGURATION);
         platform.put("servers/s1", ENTRY.formatted(first.address(), "ready"));
         caller = freeAddress();
         directory = freeAddress();
@@ -89,7 +90,7 @@
     }
 
     private static String ask(Address to, String request) throws IOException {
-        try (Socket socket = new Socket(to.host(), to.port())) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), to.port())) {
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             return readAll(socket.getInputStream());
         }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PlatformDouble.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PlatformDouble.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -18,7 +19,7 @@
     private final List<String> changes = new ArrayList<>();
 
     PlatformDouble() throws IOException {
-        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         server.createContext("/kv-range", exchange -> answer(exchange, "items", 0));
         server.createContext("/kv-watch", this::watch);
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/ServerDouble.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/ServerDouble.java
@@ -28,7 +28,7 @@
 
     ServerDouble(String id) throws IOException {
         this.id = id;
-        this.listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.answers = request -> whole(request, "200 OK", "X-Server-Seal: s\r\n", "hello");
         Thread.ofVirtual().start(this::accept);
     }
@@ -85,7 +85,6 @@
             }
         } catch (IOException e) {
             // The gateway closed the connection, which is what it does with one that it gave up.
-            arrivals.size();
         }
     }
 
