--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
@@ -17,6 +17,9 @@
 
 /** Runs an entry instance on the users' platform until it is told to leave. */
 final class GatewayCommand implements Command {
+    /** How often the settings file is looked at, which may change without a signal, milliseconds. */
+    private static final long LOOK_EVERY_MS = 2_000;
+
     @Override
     public String name() {
         return "gateway";
@@ -52,7 +55,14 @@
                 Gateway.start(settings(file), () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), output)) {
             StopSignals signals = new StopSignals();
             signals.onReload(() -> reload(gateway, file));
-            signals.await();
+            long readAtMs = file.toFile().lastModified();
+            while (!signals.await(LOOK_EVERY_MS)) {
+                long changedAtMs = file.toFile().lastModified();
+                if (changedAtMs != readAtMs) {
+                    readAtMs = changedAtMs;
+                    reload(gateway, file);
+                }
+            }
             gateway.drain();
             return 0;
         } catch (IOException e) {
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/StopSignals.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/StopSignals.java
@@ -4,6 +4,7 @@
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Waits for SIGTERM or SIGINT; a second one ends the process at once. */
@@ -67,6 +68,11 @@
         first.countDown();
     }
 
+    /** Waits for the first signal, up to a time in milliseconds; tells whether it has come. */
+    boolean await(long forMs) throws InterruptedException {
+        return first.await(forMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Waits for the first signal. */
     void await() throws InterruptedException {
         first.await();
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -150,7 +150,21 @@
     }
 
     /**
-     * Returns the least prompt tokens that wait before a new request at any server of a service.
+     * Returns how many requests the servers of a service run at once.
+     *
+     * @param service the service
+     * @return slots of the servers that may get requests
+     */
+    public int slots(String service) {
+        int slots = 0;
+        for (BackendServer server : byService.getOrDefault(service, List.of())) {
+            slots += isEligible(server) ? server.entry().slots() : 0;
+        }
+        return slots;
+    }
+
+    /**
+     * Predicts how long a middling answer of a service takes.
      *
      * @param service the service
      * @param nowMs current time, milliseconds
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -171,7 +171,7 @@
             sendToPeer(peer.get());
             return;
         }
-        if (mayWait && !request.forwarded() && core.nowMs() < waitUntilMs) {
+        if (mayWait && core.nowMs() < waitUntilMs && core.waiting().hasRoom(service)) {
             waiting = true;
             core.waiting().add(this);
             return;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/WaitingRequests.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/WaitingRequests.java
@@ -15,6 +15,9 @@
     /** Requests that are tried after one that finds no server, since another may fit where it doesn't. */
     private static final int MAX_MISSES = 4;
 
+    /** Requests that may wait for each slot; more would wait past their latency objective. */
+    private static final int WAITING_PER_SLOT = 4;
+
     private static final Comparator<Exchange> ORDER = Comparator.comparingInt(Exchange::priority)
             .thenComparingLong(Exchange::arrivedMs)
             .thenComparingInt(System::identityHashCode);
@@ -31,6 +34,13 @@
         core.every(this::retryAll, LOOK_EVERY_MS);
     }
 
+    /** Whether a request that joins has a chance of being served before its wait is over. */
+    boolean hasRoom(String service) {
+        TreeSet<Exchange> queue = byService.get(service);
+        return queue == null
+                || queue.size() < WAITING_PER_SLOT * core.backends().slots(service);
+    }
+
     void add(Exchange exchange) {
         byService
                 .computeIfAbsent(exchange.service(), name -> new TreeSet<>(ORDER))
