Remove dead parts of the entry instance and let twins share one piece

No change of behaviour. Gone: a check of pieces that could never fail, an always-true question of an attempt, a second way to forget a held answer, unused metrics and counters, an unused prediction. One piece in place of two: the time that a request may take, the settings option of both commands, key=value pairs of both logs, the bit mixing of both rendezvous hashes, the speed of a service's engines.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.ibissaddle.daemon.gateway.Gateway;
 import org.ibissaddle.daemon.gateway.GatewaySettings;
@@ -37,19 +36,12 @@
 
     @Override
     public Options options() {
-        return new Options()
-                .addOption(Option.builder()
-                        .longOpt("config")
-                        .hasArg()
-                        .argName("FILE")
-                        .required()
-                        .desc("settings in INI")
-                        .get());
+        return SettingsOption.options();
     }
 
     @Override
     public int run(CommandLine line, PrintStream out) throws CommandFailedException {
-        Path file = Path.of(line.getOptionValue("config"));
+        Path file = SettingsOption.file(line);
         OutputStream output = new FileOutputStream(FileDescriptor.out);
         try (Gateway gateway =
                 Gateway.start(settings(file), () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), output)) {
@@ -85,7 +77,7 @@
         try {
             return GatewaySettingsReader.read(file);
         } catch (SettingsException e) {
-            throw new CommandFailedException(ConfigCheckCommand.count(e) + ":\n" + e.getMessage(), e);
+            throw SettingsOption.failed(e);
         }
     }
 }
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
@@ -4,7 +4,6 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.ibissaddle.daemon.Daemon;
 import org.ibissaddle.daemon.settings.Settings;
@@ -30,19 +29,12 @@
 
     @Override
     public Options options() {
-        return new Options()
-                .addOption(Option.builder()
-                        .longOpt("config")
-                        .hasArg()
-                        .argName("FILE")
-                        .required()
-                        .desc("settings in INI")
-                        .get());
+        return SettingsOption.options();
     }
 
     @Override
     public int run(CommandLine line, PrintStream out) throws CommandFailedException {
-        Settings settings = settings(Path.of(line.getOptionValue("config")));
+        Settings settings = settings(SettingsOption.file(line));
         Logging.configure(settings.logLevel());
         try (Daemon daemon = Daemon.start(settings, System::currentTimeMillis)) {
             new StopSignals().await();
@@ -60,7 +52,7 @@
         try {
             return SettingsReader.read(file);
         } catch (SettingsException e) {
-            throw new CommandFailedException(ConfigCheckCommand.count(e) + ":\n" + e.getMessage(), e);
+            throw SettingsOption.failed(e);
         }
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -207,7 +207,7 @@
      * @param tookMs time to the first piece, milliseconds
      */
     public void observedFirstPiece(String service, long tokens, long tookMs) {
-        speeds.computeIfAbsent(service, name -> new EngineSpeed()).observe(tokens, tookMs);
+        speed(service).observe(tokens, tookMs);
     }
 
     /**
@@ -219,8 +219,7 @@
      */
     public void observedGap(BackendServer server, long gapMs, long nowMs) {
         server.observedGap(gapMs, nowMs);
-        speeds.computeIfAbsent(server.entry().service(), name -> new EngineSpeed())
-                .observeGap((double) gapMs);
+        speed(server.entry().service()).observeGap((double) gapMs);
     }
 
     /**
@@ -235,12 +234,16 @@
         return speed == null ? 0 : Math.round(speed.readMs(work.promptTokens()));
     }
 
+    private EngineSpeed speed(String service) {
+        return speeds.computeIfAbsent(service, name -> new EngineSpeed());
+    }
+
     private Choice best(String service, Work work, List<BackendServer> candidates, int sharers, long nowMs) {
         Optional<EngineSpec> engine = spec(service).flatMap(ServiceSpec::engine);
         double coldRate =
                 COLD_SHARE * spec(service).map(ServiceSpec::coldPerSecond).orElse(0.0) / Math.max(1, sharers);
         BackendServer owner = work.prefix().isEmpty() ? null : owner(work, candidates);
-        EngineSpeed speed = speeds.computeIfAbsent(service, name -> new EngineSpeed());
+        EngineSpeed speed = speed(service);
         BackendServer best = null;
         double bestCost = Double.MAX_VALUE;
         for (BackendServer server : candidates) {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeed.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeed.java
@@ -27,10 +27,6 @@
         msPerToken += (observed - msPerToken) * SMOOTHING;
     }
 
-    long predictMs(long tokens) {
-        return Math.round(baseMs + tokens * msPerToken);
-    }
-
     void observeGap(double gapMs) {
         quietGapMs = gapMs < quietGapMs
                 ? quietGapMs + (gapMs - quietGapMs) * SMOOTHING
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Rendezvous.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Rendezvous.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.route.Mixing;
 
 /**
  * Rendezvous hashing: instances with the same candidates choose the same one, and a lost candidate moves only its own
@@ -54,9 +55,7 @@
         long hash = 0xcbf29ce484222325L;
         hash = mix(hash, key);
         hash = mix(hash * 31 + 17, candidate);
-        hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-        hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return hash ^ (hash >>> 33);
+        return Mixing.mix(hash);
     }
 
     private static long mix(long seed, String text) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/AnswerRelay.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/AnswerRelay.java
@@ -51,20 +51,19 @@
         eventStream = streaming && answer.status().equals(HttpResponseStatus.OK);
     }
 
-    /** Passes on what a piece completes; tells whether it fits what went before. */
-    boolean piece(ByteBuf piece) {
+    /** Passes on what a piece completes. */
+    void piece(ByteBuf piece) {
         if (!eventStream) {
             hold(piece);
-            return true;
+            return;
         }
         ByteBuf whole = events.add(piece);
         if (!whole.isReadable()) {
             whole.release();
-            return true;
+            return;
         }
-        startIfNeeded(Inbound.CHUNKED);
+        startIfNeeded();
         inbound.sendPiece(whole);
-        return true;
     }
 
     boolean mayTakeMore() {
@@ -73,7 +72,7 @@
 
     void end() {
         if (eventStream || started) {
-            startIfNeeded(Inbound.CHUNKED);
+            startIfNeeded();
             ByteBuf rest = events.takeRest();
             if (rest != null) {
                 inbound.sendPiece(rest);
@@ -88,20 +87,13 @@
         inbound.sendEnd();
     }
 
-    /** Forgets an answer that was held and is not passed on. */
-    void drop() {
-        releaseHeld();
-        head = null;
-    }
-
-    /** The attempt has ended before its answer was whole. */
+    /** Forgets what was held of an answer that isn't passed on. */
     void attemptEnded() {
         events.dropRest();
-        releaseHeld();
-    }
-
-    void close() {
-        attemptEnded();
+        if (held != null) {
+            held.release();
+            held = null;
+        }
     }
 
     private void hold(ByteBuf piece) {
@@ -116,27 +108,20 @@
         if (held.readableBytes() > MAX_HELD_BYTES) {
             ByteBuf sofar = held;
             held = null;
-            startIfNeeded(Inbound.CHUNKED);
+            startIfNeeded();
             inbound.sendPiece(sofar);
         }
     }
 
-    private void startIfNeeded(long length) {
+    private void startIfNeeded() {
         if (started) {
             return;
         }
         started = true;
-        inbound.sendHead(head.status(), headers(), length);
+        inbound.sendHead(head.status(), headers(), Inbound.CHUNKED);
     }
 
     private HttpHeaders headers() {
         return RequestHeaders.answered(head.headers());
     }
-
-    private void releaseHeld() {
-        if (held != null) {
-            held.release();
-            held = null;
-        }
-    }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -64,11 +64,6 @@
         return endpoint.name();
     }
 
-    /** Whether the request may have reached the other end. A connection being opened counts, to be on the safe side. */
-    boolean isSent() {
-        return true;
-    }
-
     void cancel() {
         if (over) {
             return;
@@ -106,10 +101,7 @@
         }
         firstPiece();
         notePace();
-        if (!exchange.relay().piece(piece)) {
-            broken("events that don't follow the last one");
-            return;
-        }
+        exchange.relay().piece(piece);
         if (!exchange.relay().mayTakeMore()) {
             call.setReading(false);
         }
@@ -126,7 +118,6 @@
         }
         firstPiece();
         if (isServerFailure(head) && exchange.isRepeatable() && exchange.wouldRetry(Evidence.MAY_HAVE_RUN)) {
-            exchange.relay().drop();
             blame();
             failed(new Rejection(
                     Evidence.MAY_HAVE_RUN, true, "status " + head.status().code()));
@@ -213,12 +204,6 @@
         return Optional.of(rejected);
     }
 
-    private void broken(String reason) {
-        call.cancel();
-        blame();
-        failed(new Rejection(Evidence.MAY_HAVE_RUN, true, reason));
-    }
-
     private void failed(Rejection rejected) {
         end();
         exchange.relay().attemptEnded();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -85,8 +85,7 @@
         service = route.serviceFor(id);
         work = HeaderValues.work(
                 request.header(Headers.MODEL), request.header(Headers.TOKENS), request.header(Headers.PROMPT_PARTS));
-        long callerMs = HeaderValues.millis(request.header(Headers.DEADLINE_MS)).orElse(route.timeoutMs());
-        deadlineMs = request.arrivedMs() + Math.min(callerMs, route.timeoutMs());
+        deadlineMs = request.arrivedMs() + GatewayCore.allowedMs(route, request.headers());
         waitUntilMs = request.arrivedMs()
                 + Math.min((long) (route.targetLatencyMs() * WAIT_SHARE), (deadlineMs - request.arrivedMs()) / 2);
         relay = new AnswerRelay(core, inbound, route.kind() == RequestKind.STREAMING, lastEventId());
@@ -329,7 +328,8 @@
             return;
         }
         if (attempt != null) {
-            mayHaveRun |= attempt.isSent();
+            // A connection that is still being opened counts too, to be on the safe side.
+            mayHaveRun = true;
             attempt.cancel();
             attempt = null;
         }
@@ -399,7 +399,7 @@
             core.waiting().remove(this);
         }
         if (relay != null) {
-            relay.close();
+            relay.attemptEnded();
         }
         request.body().release();
         core.requestEnded(outcome);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -201,10 +201,6 @@
         loop.execute(task);
     }
 
-    String requestIdHeader() {
-        return Headers.REQUEST_ID;
-    }
-
     /** A refusal that is known from the head of a request. */
     record HeadRefusal(HttpResponseStatus status, String reason) {}
 
@@ -233,9 +229,13 @@
         if (nowMs() < drainStartMs + DRAIN_OPEN_MS) {
             return false;
         }
-        long callerMs =
-                HeaderValues.millis(head.headers().get(Headers.DEADLINE_MS)).orElse(route.timeoutMs());
-        return nowMs() + Math.min(callerMs, route.timeoutMs()) > drainEndMs;
+        return nowMs() + allowedMs(route, head.headers()) > drainEndMs;
+    }
+
+    /** How long a request may take from its arrival: what its caller and its route allow, milliseconds. */
+    static long allowedMs(Route route, HttpHeaders headers) {
+        long callerMs = HeaderValues.millis(headers.get(Headers.DEADLINE_MS)).orElse(route.timeoutMs());
+        return Math.min(callerMs, route.timeoutMs());
     }
 
     /** Headers of an answer of the gateway's own. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
@@ -1,7 +1,6 @@
 package org.ibissaddle.daemon.gateway;
 
 import com.codahale.metrics.Counter;
-import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
@@ -42,17 +41,12 @@
         registry.counter("requests_total{outcome=\"" + outcome + "\"}").inc();
     }
 
-    void gauge(String name, Gauge<Long> gauge) {
-        registry.gauge(name, () -> gauge);
-    }
-
     /** All metrics in the text form that scrapers read. */
     String text() {
         StringBuilder text = new StringBuilder();
         for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
             line(text, counter.getKey(), counter.getValue().getCount());
         }
-        registry.getGauges().forEach((name, gauge) -> line(text, name, gauge.getValue()));
         for (Map.Entry<String, Histogram> histogram : registry.getHistograms().entrySet()) {
             Snapshot snapshot = histogram.getValue().getSnapshot();
             for (double quantile : QUANTILES) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -26,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.ibissaddle.platform.Headers;
 import org.ibissaddle.route.CallerLimits;
 
 /** A connection of a caller or of another instance: one request after the other, each answered in full. */
@@ -270,7 +271,7 @@
                 .notable(
                         "refused",
                         "request",
-                        request == null ? "" : request.headers().get(core.requestIdHeader(), ""),
+                        request == null ? "" : request.headers().get(Headers.REQUEST_ID, ""),
                         "status",
                         status.code(),
                         "reason",
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
@@ -34,7 +34,6 @@
     private final Clock clock;
     private final Consumer<Endpoint> onUnexpectedClose;
     private final Map<Endpoint, Deque<ClientConnection>> idle = new HashMap<>();
-    private long opened;
 
     /**
      * Makes a client.
@@ -74,7 +73,6 @@
             kept.start(call, true);
             return call;
         }
-        opened++;
         ClientConnection fresh = new ClientConnection(this, endpoint, clock);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
@@ -106,15 +104,6 @@
         }
     }
 
-    /**
-     * Returns how many connections were opened.
-     *
-     * @return since the start
-     */
-    public long opened() {
-        return opened;
-    }
-
     void keep(Endpoint endpoint, ClientConnection connection) {
         Deque<ClientConnection> connections = idle.computeIfAbsent(endpoint, key -> new ArrayDeque<>());
         if (connections.size() >= MAX_IDLE) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/log/DecisionLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/log/DecisionLog.java
@@ -90,9 +90,7 @@
         line.append(" level=").append(level);
         line.append(" event=").append(event);
         line.append(" instance=").append(instance);
-        for (int i = 0; i + 1 < pairs.length; i += 2) {
-            line.append(' ').append(pairs[i]).append('=').append(Values.quoted(String.valueOf(pairs[i + 1])));
-        }
+        Values.append(line, pairs);
         if (!lines.offer(line.append('\n').toString())) {
             dropped.incrementAndGet();
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/log/EventLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/log/EventLog.java
@@ -58,9 +58,7 @@
     private String line(String event, Object... pairs) {
         StringBuilder line = new StringBuilder("event=").append(event);
         line.append(" instance=").append(instance);
-        for (int i = 0; i + 1 < pairs.length; i += 2) {
-            line.append(' ').append(pairs[i]).append('=').append(Values.quoted(String.valueOf(pairs[i + 1])));
-        }
+        Values.append(line, pairs);
         return line.toString();
     }
 }
