Let engines copy shared parts of prompts from each other

Ruled out: memory that overflows (0 to 5 requests preempted). Change: a request that is sent to a server that lacks its shared part names a server of the region that has read it; parts below 1,000 tokens are read, and parts that are still being read aren't copied. A 'sent' line tells the inputs of each placement.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -6,6 +6,8 @@
 public final class BackendServer {
     /** A report of load older than this is no longer used; reports come with every answer. */
     private static final long REPORT_AGE_MS = 1_500;
+    /** Fewer tokens are read sooner than a transfer is set up; some 15 ms of reading. */
+    private static final int MIN_COPY_TOKENS = 1_000;
     /** Failures in a row after which a server is left out. */
     private static final int EJECT_AFTER = 3;
     /** Time that a server is left out at first, milliseconds; doubles while it goes on failing. */
@@ -128,17 +130,40 @@
         return Math.max(0, work.promptTokens() - prefixes.cachedTokens(work));
     }
 
+    /**
+     * Returns the tokens of a prompt that another server could copy from this one.
+     *
+     * @param work the request
+     * @return tokens that the server has read
+     */
+    public int copyableTokens(Work work) {
+        return prefixes.readTokens(work);
+    }
+
+    /**
+     * Returns the tokens of a prompt that this server lacks and another one has.
+     *
+     * @param work the request
+     * @param source the other server
+     * @return tokens that would be copied; 0 when they are too few to be worth a transfer
+     */
+    public int tokensToCopy(Work work, BackendServer source) {
+        int lacking = source.copyableTokens(work) - prefixes.cachedTokens(work);
+        return lacking < MIN_COPY_TOKENS ? 0 : lacking;
+    }
+
     /**
      * Notes a request that is being sent.
      *
      * @param work the request
+     * @param copiedTokens tokens of its prompt that the server copies from another one
      * @param kvTokens tokens that the server's memory holds
      * @param nowMs current time, milliseconds
      * @return the request at the server, to be told how it goes
      */
-    public Placed place(Work work, long kvTokens, long nowMs) {
-        int missing = missingTokens(work);
-        int held = missing + work.outputTokens();
+    public Placed place(Work work, int copiedTokens, long kvTokens, long nowMs) {
+        int held = missingTokens(work) + work.outputTokens();
+        int missing = Math.max(0, missingTokens(work) - copiedTokens);
         long ahead = backlogTokens;
         inFlight++;
         backlogTokens += missing;
@@ -149,7 +174,7 @@
         if (isCold(nowMs)) {
             coldPace.take();
         }
-        return new Placed(missing, held, ahead);
+        return new Placed(work, missing, held, ahead);
     }
 
     /**
@@ -257,13 +282,15 @@
 
     /** A request at the server. */
     public final class Placed {
+        private final Work work;
         private final int missing;
         private final int held;
         private final long ahead;
         private boolean read;
         private boolean ended;
 
-        private Placed(int missing, int held, long ahead) {
+        private Placed(Work work, int missing, int held, long ahead) {
+            this.work = work;
             this.missing = missing;
             this.held = held;
             this.ahead = ahead;
@@ -278,8 +305,8 @@
             if (read) {
                 return false;
             }
-            read = true;
-            backlogTokens -= missing;
+            stopReading();
+            prefixes.markRead(work);
             return true;
         }
 
@@ -288,12 +315,19 @@
             if (ended) {
                 return;
             }
-            answered();
             ended = true;
+            if (!read) {
+                stopReading();
+            }
             inFlight--;
             heldTokens -= held;
         }
 
+        private void stopReading() {
+            read = true;
+            backlogTokens -= missing;
+        }
+
         /**
          * Returns the tokens that the server had to read before the first piece.
          *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -243,6 +243,8 @@
         double coldRate =
                 COLD_SHARE * spec(service).map(ServiceSpec::coldPerSecond).orElse(0.0) / Math.max(1, sharers);
         BackendServer owner = work.prefix().isEmpty() ? null : owner(work, candidates);
+        Optional<BackendServer> source =
+                engine.filter(EngineSpec::copiesCache).flatMap(any -> cacheSource(service, work));
         EngineSpeed speed = speed(service);
         BackendServer best = null;
         double bestCost = Double.MAX_VALUE;
@@ -254,7 +256,7 @@
             if (full || tooCold || tooMuchUnread || !fits(server, work, engine)) {
                 continue;
             }
-            double cost = cost(server, work, server == owner, engine, speed, nowMs);
+            double cost = cost(server, work, server == owner, source, engine, speed, nowMs);
             if (cost < bestCost) {
                 best = server;
                 bestCost = cost;
@@ -264,7 +266,22 @@
             return new Choice.Busy("all servers of service " + service + " are full or cold");
         }
         long waitMs = engine.isPresent() ? Math.round(wait(best, work, speed, nowMs)) : 0;
-        return new Choice.Found(best, waitMs);
+        BackendServer chosen = best;
+        return new Choice.Found(best, waitMs, source.filter(from -> chosen.tokensToCopy(work, from) > 0));
+    }
+
+    /** The server of the region that has read most of a prompt. */
+    private Optional<BackendServer> cacheSource(String service, Work work) {
+        BackendServer source = null;
+        int most = 0;
+        for (BackendServer server : byService.getOrDefault(service, List.of())) {
+            int tokens = server.copyableTokens(work);
+            if (tokens > most && isEligible(server) && !server.isUnproven()) {
+                source = server;
+                most = tokens;
+            }
+        }
+        return Optional.ofNullable(source);
     }
 
     /** Time that a middling answer would take at a server, after its prompt has been read, milliseconds. */
@@ -278,6 +295,7 @@
             BackendServer server,
             Work work,
             boolean isOwner,
+            Optional<BackendServer> source,
             Optional<EngineSpec> engine,
             EngineSpeed speed,
             long nowMs) {
@@ -285,8 +303,10 @@
         if (engine.isEmpty()) {
             return (double) (load + 1) / Math.max(1, server.entry().slots());
         }
-        double missing = server.missingTokens(work) * (isOwner ? OWNER_DISCOUNT : 1);
-        return speed.readMs(server.backlogTokens() + missing + load * TOKENS_PER_RUNNING);
+        int copied = source.map(from -> server.tokensToCopy(work, from)).orElse(0);
+        double missing = (server.missingTokens(work) - copied) * (isOwner ? OWNER_DISCOUNT : 1);
+        double copyMs = copied == 0 ? 0 : engine.get().copyMs(copied);
+        return copyMs + speed.readMs(server.backlogTokens() + missing + load * TOKENS_PER_RUNNING);
     }
 
     private static boolean fits(BackendServer server, Work work, Optional<EngineSpec> engine) {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Choice.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Choice.java
@@ -1,5 +1,7 @@
 package org.ibissaddle.backend;
 
+import java.util.Optional;
+
 /** The outcome of looking for a server. */
 public sealed interface Choice {
     /**
@@ -7,8 +9,9 @@
      *
      * @param server the server
      * @param waitMs predicted time to the first byte of its answer, milliseconds
+     * @param cacheSource server from which it copies what it lacks of the prompt, empty when it reads all itself
      */
-    record Found(BackendServer server, long waitMs) implements Choice {}
+    record Found(BackendServer server, long waitMs, Optional<BackendServer> cacheSource) implements Choice {}
 
     /**
      * Servers exist, and none can take the request now.
--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendsTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendsTest.java
@@ -35,7 +35,12 @@
     @BeforeEach
     void declareServices() {
         ServiceSpec engines = new ServiceSpec(
-                ENGINES, "/health", 100, COLD_MS, COLD_PER_SECOND, Optional.of(new EngineSpec(64, 300_000, 5)));
+                ENGINES,
+                "/health",
+                100,
+                COLD_MS,
+                COLD_PER_SECOND,
+                Optional.of(new EngineSpec(64, 300_000, 5, 100_000, 800_000)));
         ServiceSpec ledger = new ServiceSpec(LEDGER, "/health", 100, 0, 0, Optional.empty());
         backends.learn(
                 new Fact.ConfigurationPublished(
@@ -108,7 +113,7 @@
         void shouldFillNoServerBeyondItsSlots() {
             publish("s", LEDGER, NEAR, false, 0);
             for (int i = 0; i < 2; i++) {
-                found(LEDGER, Work.PLAIN, 0).place(Work.PLAIN, Long.MAX_VALUE, 0);
+                found(LEDGER, Work.PLAIN, 0).place(Work.PLAIN, 0, Long.MAX_VALUE, 0);
             }
 
             assertThat(choose(LEDGER, Work.PLAIN, 0)).isInstanceOf(Choice.Busy.class);
@@ -135,7 +140,7 @@
             int sent = 0;
             for (long nowMs = 0; nowMs < 1_000; nowMs += 10) {
                 if (backends.choose(ENGINES, Work.PLAIN, Set.of(), sharers, nowMs) instanceof Choice.Found choice) {
-                    choice.server().place(Work.PLAIN, Long.MAX_VALUE, nowMs).ended();
+                    choice.server().place(Work.PLAIN, 0, Long.MAX_VALUE, nowMs).ended();
                     sent++;
                 }
             }
@@ -153,6 +158,77 @@
         }
     }
 
+    @Nested
+    class CopiesOfTheCache {
+        private final Work dossier = new Work("m", 17_000, 100, List.of(new PromptPart("shared", 13_300)));
+
+        private Choice.Found elsewhere(BackendServer first) {
+            return (Choice.Found)
+                    backends.choose(ENGINES, dossier, Set.of(first.entry().id()), 1, 0);
+        }
+
+        @Test
+        void shouldCopyASharedPartThatAnotherServerHasRead() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            BackendServer first = found(ENGINES, dossier, 0);
+            first.place(dossier, 0, 300_000, 0).answered();
+
+            Choice.Found second = elsewhere(first);
+
+            assertThat(second.cacheSource()).contains(first);
+            assertThat(second.server().tokensToCopy(dossier, first)).isEqualTo(13_300);
+        }
+
+        @Test
+        void shouldNotCopyWhatTheOtherServerIsStillReading() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            BackendServer first = found(ENGINES, dossier, 0);
+            first.place(dossier, 0, 300_000, 0);
+
+            assertThat(elsewhere(first).cacheSource()).isEmpty();
+        }
+
+        @Test
+        void shouldNotCopyFromALeavingServer() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            BackendServer first = found(ENGINES, dossier, 0);
+            first.place(dossier, 0, 300_000, 0).answered();
+            publish(first.entry().id().name(), ENGINES, NEAR, true, 0);
+
+            assertThat(elsewhere(first).cacheSource()).isEmpty();
+        }
+
+        @Test
+        void shouldReadShortPartsRatherThanCopyThem() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            Work question = new Work("m", 300, 50, List.of(new PromptPart("greeting", 200)));
+            BackendServer first = found(ENGINES, question, 0);
+            first.place(question, 0, 300_000, 0).answered();
+
+            Choice.Found second = (Choice.Found)
+                    backends.choose(ENGINES, question, Set.of(first.entry().id()), 1, 0);
+
+            assertThat(second.cacheSource()).isEmpty();
+        }
+
+        @Test
+        void shouldCountOnlyTokensThatTheServerReadsItself() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            BackendServer first = found(ENGINES, dossier, 0);
+            first.place(dossier, 0, 300_000, 0).answered();
+            BackendServer second = elsewhere(first).server();
+
+            second.place(dossier, 13_300, 300_000, 0);
+
+            assertThat(second.backlogTokens()).isEqualTo(3_700);
+        }
+    }
+
     @Nested
     class Prefixes {
         @Test
@@ -161,7 +237,7 @@
             publish("b", ENGINES, NEAR, false, 0);
             Work dossier = new Work("m", 17_000, 100, List.of(new PromptPart("shared", 13_300)));
             BackendServer first = found(ENGINES, dossier, 0);
-            first.place(dossier, 300_000, 0).ended();
+            first.place(dossier, 0, 300_000, 0).ended();
 
             assertThat(found(ENGINES, dossier, 0)).isSameAs(first);
             assertThat(first.missingTokens(dossier)).isEqualTo(3_700);
@@ -172,7 +248,7 @@
             publish("a", ENGINES, NEAR, false, 0);
             Work dossier = new Work("m", 17_000, 100, List.of(new PromptPart("shared", 13_300)));
             BackendServer server = found(ENGINES, dossier, 0);
-            server.place(dossier, 300_000, 0).ended();
+            server.place(dossier, 0, 300_000, 0).ended();
 
             ServerEntry moved = new ServerEntry(
                     new ServerId("a"),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -24,10 +24,10 @@
     private final Exchange exchange;
     private final Endpoint endpoint;
     private final Optional<BackendServer> server;
+    private final Optional<BackendServer.Placed> placed;
     private final Work work;
     private final String requestId;
     private final long sentMs;
-    private Optional<BackendServer.Placed> placed = Optional.empty();
     private HttpClient.Call call;
     private HttpResponse head;
     private Optional<Rejection> rejection = Optional.empty();
@@ -41,19 +41,20 @@
             Exchange exchange,
             Endpoint endpoint,
             Optional<BackendServer> server,
+            Optional<BackendServer.Placed> placed,
             Work work,
             String requestId) {
         this.core = core;
         this.exchange = exchange;
         this.endpoint = endpoint;
         this.server = server;
+        this.placed = placed;
         this.work = work;
         this.requestId = requestId;
         this.sentMs = core.nowMs();
     }
 
     void start(HttpRequest request, ByteBuf body, HttpClient.SendOptions options) {
-        placed = server.map(to -> to.place(work, core.kvTokens(exchange.service()), sentMs));
         call = core.client().send(endpoint, request, body, options, this);
         if (over) {
             call.cancel();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -108,7 +108,7 @@
         Choice choice = choose();
         if (choice instanceof Choice.Found found) {
             waiting = false;
-            sendToServer(found.server());
+            sendToServer(found);
             return true;
         }
         Optional<PeerState> peer = peerWithRoom(Long.MAX_VALUE);
@@ -156,7 +156,7 @@
                 if (faster.isPresent()) {
                     sendToPeer(faster.get());
                 } else {
-                    sendToServer(found.server());
+                    sendToServer(found);
                 }
             }
             case Choice.Busy busy -> placeElsewhere(busy.reason(), true);
@@ -198,12 +198,39 @@
         });
     }
 
-    private void sendToServer(BackendServer server) {
+    private void sendToServer(Choice.Found choice) {
+        BackendServer server = choice.server();
         triedServers.add(server.entry().id());
-        Endpoint endpoint = GatewayCore.endpoint(server);
         HttpRequest head = head();
         head.headers().set(Headers.EXPECTED_SERVER, server.entry().id().name());
-        send(endpoint, head, Optional.of(server), CONNECT_TIMEOUT_MS);
+        int copiedTokens = 0;
+        if (choice.cacheSource().isPresent()) {
+            BackendServer source = choice.cacheSource().get();
+            copiedTokens = server.tokensToCopy(work, source);
+            head.headers().set(Headers.COPY_CACHE_FROM, source.entry().address().toString());
+        }
+        core.log()
+                .routine(
+                        "sent",
+                        "request",
+                        id,
+                        "target",
+                        server.entry().id(),
+                        "load",
+                        server.estimatedLoad(core.nowMs()),
+                        "unreadTokens",
+                        server.backlogTokens(),
+                        "missingTokens",
+                        server.missingTokens(work),
+                        "copiedTokens",
+                        copiedTokens,
+                        "copiedFrom",
+                        choice.cacheSource()
+                                .map(from -> from.entry().id().name())
+                                .orElse(""));
+        Optional<BackendServer.Placed> placed =
+                Optional.of(server.place(work, copiedTokens, core.kvTokens(service), core.nowMs()));
+        send(GatewayCore.endpoint(server), head, Optional.of(server), placed, CONNECT_TIMEOUT_MS);
     }
 
     private void sendToPeer(PeerState peer) {
@@ -211,14 +238,20 @@
         HttpRequest head = head();
         head.headers().set(InternalHeaders.FORWARDED_BY, core.settings().name().name());
         core.metrics().forwarded(service);
-        send(new Endpoint(peer.id().name(), peer.peerAddress()), head, Optional.empty(), PEER_CONNECT_TIMEOUT_MS);
+        Endpoint endpoint = new Endpoint(peer.id().name(), peer.peerAddress());
+        send(endpoint, head, Optional.empty(), Optional.empty(), PEER_CONNECT_TIMEOUT_MS);
     }
 
-    private void send(Endpoint endpoint, HttpRequest head, Optional<BackendServer> server, int connectTimeoutMs) {
+    private void send(
+            Endpoint endpoint,
+            HttpRequest head,
+            Optional<BackendServer> server,
+            Optional<BackendServer.Placed> placed,
+            int connectTimeoutMs) {
         sends++;
         long maxIdleMs = route.isRepeatable() ? REPEATABLE_IDLE_MS : ONCE_IDLE_MS;
         ByteBuf body = request.body().retainedDuplicate();
-        attempt = new Attempt(core, this, endpoint, server, work, id);
+        attempt = new Attempt(core, this, endpoint, server, placed, work, id);
         attempt.start(head, body, new HttpClient.SendOptions(maxIdleMs, connectTimeoutMs));
     }
 
