--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -130,6 +130,16 @@
         return Math.max(0, work.promptTokens() - prefixes.cachedTokens(work));
     }
 
+    /**
+     * Returns the tokens of a prompt that the server keeps, or will when it has read what it was sent.
+     *
+     * @param work the request
+     * @return tokens
+     */
+    public int keptTokens(Work work) {
+        return prefixes.cachedTokens(work);
+    }
+
     /**
      * Returns the tokens of a prompt that another server could copy from this one.
      *
@@ -177,6 +187,20 @@
         return new Placed(work, missing, held, ahead);
     }
 
+    /**
+     * Takes in what the server says of its KV cache.
+     *
+     * @param change a part that it keeps now, or no longer
+     */
+    public void cacheChanged(CacheChange change) {
+        prefixes.observe(change);
+    }
+
+    /** Forgets what the server kept in its KV cache, since it has restarted. */
+    public void cacheLost() {
+        prefixes.clear();
+    }
+
     /**
      * Notes the load that the server reports.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -36,6 +38,7 @@
     private final Map<Zone, Region> regions;
     private final Map<ServerId, BackendServer> servers = new HashMap<>();
     private final Map<String, List<BackendServer>> byService = new HashMap<>();
+    private final Map<ServerId, ServerEntry> elsewhere = new HashMap<>();
     private final Set<Zone> evacuated = new HashSet<>();
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private Map<String, ServiceSpec> specs = Map.of();
@@ -317,26 +320,71 @@
         return held <= engine.get().kvTokens() * MEMORY_SHARE;
     }
 
+    /**
+     * Finds the region whose servers should read the shared parts of a prompt, so that they are read once for all
+     * regions. All instances that know the same servers find the same one.
+     *
+     * @param service the service
+     * @param work the request
+     * @param allowed regions that may serve it; empty when all may
+     * @return the region, empty when the prompt has no parts or no server is known
+     */
+    public Optional<Region> owningRegion(String service, Work work, Set<Region> allowed) {
+        if (work.prefix().isEmpty()) {
+            return Optional.empty();
+        }
+        List<ServerEntry> candidates = new ArrayList<>();
+        for (BackendServer server : byService.getOrDefault(service, List.of())) {
+            candidates.add(server.entry());
+        }
+        for (ServerEntry entry : elsewhere.values()) {
+            if (entry.service().equals(service)) {
+                candidates.add(entry);
+            }
+        }
+        candidates.removeIf(entry -> entry.draining()
+                || evacuated.contains(entry.zone())
+                || !(allowed.isEmpty() || allowed.contains(regions.get(entry.zone()))));
+        return candidates.stream()
+                .max(Comparator.comparingLong(entry -> ownership(work, entry.id())))
+                .map(entry -> regions.get(entry.zone()));
+    }
+
+    /**
+     * Predicts the time that the servers of the own region would spend on shared parts that none of them keeps.
+     *
+     * @param service the service
+     * @param work the request
+     * @return milliseconds; 0 when one of them keeps all shared parts
+     */
+    public long unsharedReadMs(String service, Work work) {
+        int known = 0;
+        for (BackendServer server : byService.getOrDefault(service, List.of())) {
+            known = Math.max(known, isEligible(server) ? server.keptTokens(work) : 0);
+        }
+        return Math.round(speed(service).readMs((double) Math.max(0, work.sharedTokens() - known)));
+    }
+
     /** The server that all instances prefer for a prompt: the highest rendezvous hash of its first part. */
     private static BackendServer owner(Work work, List<BackendServer> candidates) {
+        return Collections.max(
+                candidates,
+                Comparator.comparingLong(
+                        server -> ownership(work, server.entry().id())));
+    }
+
+    private static long ownership(Work work, ServerId server) {
         long part = work.prefix().getFirst().id().hashCode();
-        BackendServer owner = candidates.getFirst();
-        long highest = Long.MIN_VALUE;
-        for (BackendServer server : candidates) {
-            long hash = Mixing.mix(part * 31 + server.entry().id().name().hashCode());
-            if (hash > highest) {
-                highest = hash;
-                owner = server;
-            }
-        }
-        return owner;
+        return Mixing.mix(part * 31 + server.name().hashCode());
     }
 
     private void publish(ServerEntry entry, long nowMs) {
         if (!region.equals(regions.get(entry.zone()))) {
             remove(entry.id());
+            elsewhere.put(entry.id(), entry);
             return;
         }
+        elsewhere.remove(entry.id());
         BackendServer known = servers.get(entry.id());
         if (known != null && !known.entry().service().equals(entry.service())) {
             remove(entry.id());
@@ -352,6 +400,7 @@
     }
 
     private void remove(ServerId id) {
+        elsewhere.remove(id);
         BackendServer gone = servers.remove(id);
         if (gone == null) {
             return;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/PrefixMemory.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/PrefixMemory.java
@@ -6,11 +6,14 @@
 import org.ibissaddle.route.Mixing;
 
 /**
- * The prompt parts that a server presumably keeps in its KV cache, judged by what this instance sent there. The least
- * recently used parts go first, as in the engine.
+ * The prompt parts that a server presumably keeps in its KV cache: what this instance sent there, corrected by what the
+ * server says. The least recently used parts go first, as in the engine.
  */
 final class PrefixMemory {
-    private final Map<Long, Part> partsByChain = new LinkedHashMap<>(64, 0.75f, true);
+    private static final int INITIAL_PARTS = 64;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<Long, Part> parts = new LinkedHashMap<>(INITIAL_PARTS, LOAD_FACTOR, true);
     private long heldTokens;
 
     private record Part(int tokens, boolean read) {}
@@ -27,54 +30,66 @@
 
     /** Notes that a prompt has been sent to the server. */
     void remember(Work work, long capacityTokens) {
-        long chain = start(work);
         for (PromptPart part : work.prefix()) {
-            chain = extend(chain, part);
-            Part before = partsByChain.get(chain);
-            partsByChain.put(chain, new Part(part.tokens(), before != null && before.read()));
-            heldTokens += part.tokens() - (before == null ? 0 : before.tokens());
+            long key = key(work.model(), part.id());
+            Part before = parts.get(key);
+            put(key, new Part(part.tokens(), before != null && before.read()));
         }
-        Iterator<Map.Entry<Long, Part>> oldest = partsByChain.entrySet().iterator();
+        Iterator<Part> oldest = parts.values().iterator();
         while (heldTokens > capacityTokens && oldest.hasNext()) {
-            heldTokens -= oldest.next().getValue().tokens();
+            heldTokens -= oldest.next().tokens();
             oldest.remove();
         }
     }
 
     /** Notes that the server has read a prompt. */
     void markRead(Work work) {
-        long chain = start(work);
         for (PromptPart part : work.prefix()) {
-            chain = extend(chain, part);
-            partsByChain.computeIfPresent(chain, (key, before) -> new Part(before.tokens(), true));
+            parts.computeIfPresent(key(work.model(), part.id()), (key, before) -> new Part(before.tokens(), true));
+        }
+    }
+
+    /** Takes in what the server says; a part that it was sent since, and reads now, stays. */
+    void observe(CacheChange change) {
+        long key = key(change.model(), change.partId());
+        if (change.keptTokens() > 0) {
+            put(key, new Part(change.keptTokens(), true));
+            return;
+        }
+        Part before = parts.get(key);
+        if (before != null && before.read()) {
+            parts.remove(key);
+            heldTokens -= before.tokens();
         }
     }
 
     /** Forgets everything, since the server has restarted. */
     void clear() {
-        partsByChain.clear();
+        parts.clear();
         heldTokens = 0;
     }
 
+    private void put(long key, Part part) {
+        Part before = parts.put(key, part);
+        heldTokens += part.tokens() - (before == null ? 0 : before.tokens());
+    }
+
     private int tokens(Work work, boolean readOnly) {
         int tokens = 0;
-        long chain = start(work);
         for (PromptPart part : work.prefix()) {
-            chain = extend(chain, part);
-            Part kept = partsByChain.get(chain);
+            Part kept = parts.get(key(work.model(), part.id()));
             if (kept == null || (readOnly && !kept.read())) {
                 break;
             }
-            tokens += part.tokens();
+            tokens += Math.min(part.tokens(), kept.tokens());
+            if (kept.tokens() < part.tokens()) {
+                break;
+            }
         }
         return tokens;
     }
 
-    private static long start(Work work) {
-        return Mixing.mix(work.model().hashCode());
-    }
-
-    private static long extend(long chain, PromptPart part) {
-        return Mixing.mix(chain * 31 + part.id().hashCode());
+    private static long key(String model, String partId) {
+        return Mixing.mix(Mixing.mix(model.hashCode()) * 31 + partId.hashCode());
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Work.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Work.java
@@ -18,4 +18,17 @@
     public Work {
         prefix = List.copyOf(prefix);
     }
+
+    /**
+     * Returns the length of the parts that other requests share; the last part is the request's own.
+     *
+     * @return tokens
+     */
+    public int sharedTokens() {
+        int tokens = 0;
+        for (int i = 0; i < prefix.size() - 1; i++) {
+            tokens += prefix.get(i).tokens();
+        }
+        return tokens;
+    }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/Peers.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/Peers.java
@@ -24,8 +24,12 @@
     /** How long one failed connection speaks against an instance, milliseconds; it is asked again meanwhile. */
     private static final long UNREACHABLE_MS = 1_500;
 
+    /** Weight of a new round trip: about the last five count. */
+    private static final double ROUND_TRIP_SMOOTHING = 0.2;
+
     private final InstanceId self;
     private final Map<InstanceId, Known> known = new HashMap<>();
+    private final Map<Region, Double> roundTripsMs = new HashMap<>();
 
     /**
      * Makes an empty table.
@@ -58,6 +62,26 @@
         return true;
     }
 
+    /**
+     * Notes how long a message to a region and its answer took.
+     *
+     * @param region the region
+     * @param tookMs milliseconds
+     */
+    public void observedRoundTrip(Region region, long tookMs) {
+        roundTripsMs.merge(region, (double) tookMs, (before, now) -> before + (now - before) * ROUND_TRIP_SMOOTHING);
+    }
+
+    /**
+     * Returns how long a message to a region and its answer take.
+     *
+     * @param region the region
+     * @return milliseconds, empty while no instance there has answered
+     */
+    public Optional<Double> roundTripMs(Region region) {
+        return Optional.ofNullable(roundTripsMs.get(region));
+    }
+
     /**
      * Notes that an instance couldn't be reached.
      *
--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendsTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendsTest.java
@@ -49,7 +49,11 @@
     }
 
     private void publish(String id, String service, Zone zone, boolean draining, long coldForMs) {
-        ServerEntry entry = new ServerEntry(
+        backends.learn(new Fact.ServerPublished(entry(id, service, zone, draining, coldForMs)), 0);
+    }
+
+    private static ServerEntry entry(String id, String service, Zone zone, boolean draining, long coldForMs) {
+        return new ServerEntry(
                 new ServerId(id),
                 service,
                 Address.parse("10.0.0.1:" + (1_000 + Math.floorMod(id.hashCode(), 9_000))),
@@ -59,7 +63,6 @@
                 coldForMs,
                 OptionalLong.empty(),
                 OptionalLong.empty());
-        backends.learn(new Fact.ServerPublished(entry), 0);
     }
 
     private Choice choose(String service, Work work, long nowMs) {
@@ -229,6 +232,138 @@
         }
     }
 
+    @Nested
+    class WhatServersSayOfTheirCache {
+        private final Work dossier =
+                new Work("m", 17_000, 100, List.of(new PromptPart("shared", 13_300), new PromptPart("own", 3_700)));
+
+        @Test
+        void shouldFindPartsThatAnotherInstanceSentThere() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, NEAR, false, 0);
+            BackendServer keeper = backends.server(new ServerId("b")).orElseThrow();
+
+            keeper.cacheChanged(new CacheChange("m", "shared", 13_300));
+
+            assertThat(keeper.missingTokens(dossier)).isEqualTo(3_700);
+            assertThat(found(ENGINES, dossier, 0)).isSameAs(keeper);
+            assertThat(backends.unsharedReadMs(ENGINES, dossier)).isZero();
+        }
+
+        @Test
+        void shouldCountOnlyWhatIsLeftOfAPart() {
+            publish("a", ENGINES, NEAR, false, 0);
+            BackendServer keeper = found(ENGINES, dossier, 0);
+
+            keeper.cacheChanged(new CacheChange("m", "shared", 8_000));
+            keeper.cacheChanged(new CacheChange("m", "own", 3_700));
+
+            assertThat(keeper.missingTokens(dossier)).isEqualTo(9_000);
+        }
+
+        @Test
+        void shouldForgetAPartThatWasEvicted() {
+            publish("a", ENGINES, NEAR, false, 0);
+            BackendServer keeper = found(ENGINES, dossier, 0);
+            keeper.cacheChanged(new CacheChange("m", "shared", 13_300));
+
+            keeper.cacheChanged(new CacheChange("m", "shared", 0));
+
+            assertThat(keeper.missingTokens(dossier)).isEqualTo(17_000);
+        }
+
+        @Test
+        void shouldKeepAPartThatIsBeingReadAgainWhenNewsOfItsEvictionComesLate() {
+            publish("a", ENGINES, NEAR, false, 0);
+            BackendServer keeper = found(ENGINES, dossier, 0);
+            keeper.place(dossier, 0, 300_000, 0);
+
+            keeper.cacheChanged(new CacheChange("m", "shared", 0));
+
+            assertThat(keeper.keptTokens(dossier)).isEqualTo(17_000);
+        }
+
+        @Test
+        void shouldNotTakePartsOfAnotherModelForItsOwn() {
+            publish("a", ENGINES, NEAR, false, 0);
+            BackendServer keeper = found(ENGINES, dossier, 0);
+
+            keeper.cacheChanged(new CacheChange("other", "shared", 13_300));
+
+            assertThat(keeper.missingTokens(dossier)).isEqualTo(17_000);
+        }
+    }
+
+    /** Pattern: the same long prompts come in every region, and each region would read them for itself. */
+    @Nested
+    class OwnersOfSharedParts {
+        private final Region north = new Region("north");
+        private final Region south = new Region("south");
+
+        private Work dossier(String part) {
+            return new Work("m", 17_000, 100, List.of(new PromptPart(part, 13_300), new PromptPart("own", 3_700)));
+        }
+
+        private String partOwnedBy(Region owner) {
+            for (int i = 0; i < 1_000; i++) {
+                String part = "part" + i;
+                if (backends.owningRegion(ENGINES, dossier(part), Set.of()).equals(Optional.of(owner))) {
+                    return part;
+                }
+            }
+            throw new AssertionError("no part is owned by " + owner);
+        }
+
+        @Test
+        void shouldBeFoundAlikeInEveryRegion() {
+            Backends others = new Backends(south, Map.of(NEAR, north, FAR, south));
+            for (String id : List.of("a", "b", "c", "d")) {
+                Zone zone = id.compareTo("c") < 0 ? NEAR : FAR;
+                publish(id, ENGINES, zone, false, 0);
+                others.learn(new Fact.ServerPublished(entry(id, ENGINES, zone, false, 0)), 0);
+            }
+
+            for (int i = 0; i < 100; i++) {
+                Work work = dossier("part" + i);
+                assertThat(others.owningRegion(ENGINES, work, Set.of()))
+                        .isEqualTo(backends.owningRegion(ENGINES, work, Set.of()));
+            }
+        }
+
+        @Test
+        void shouldLieInAllowedRegionsOnly() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, FAR, false, 0);
+            String part = partOwnedBy(south);
+
+            assertThat(backends.owningRegion(ENGINES, dossier(part), Set.of(north)))
+                    .contains(north);
+        }
+
+        @Test
+        void shouldMoveWhenTheirServerLeavesOrItsZoneIsEvacuated() {
+            publish("a", ENGINES, NEAR, false, 0);
+            publish("b", ENGINES, FAR, false, 0);
+            String part = partOwnedBy(south);
+
+            backends.learn(new Fact.EvacuationRequested(FAR), 0);
+            assertThat(backends.owningRegion(ENGINES, dossier(part), Set.of())).contains(north);
+
+            backends.learn(new Fact.EvacuationWithdrawn(FAR), 0);
+            publish("b", ENGINES, FAR, true, 0);
+            assertThat(backends.owningRegion(ENGINES, dossier(part), Set.of())).contains(north);
+        }
+
+        @Test
+        void shouldSaveNothingOnPromptsThatNobodyShares() {
+            publish("a", ENGINES, NEAR, false, 0);
+            Work alone = new Work("m", 17_000, 100, List.of(new PromptPart("own", 17_000)));
+
+            assertThat(backends.unsharedReadMs(ENGINES, alone)).isZero();
+            assertThat(backends.unsharedReadMs(ENGINES, dossier("part"))).isPositive();
+        }
+    }
+
     @Nested
     class Prefixes {
         @Test
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -17,6 +17,7 @@
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.dispatch.AttemptPolicy;
 import org.ibissaddle.id.Address;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.peer.PeerState;
 import org.ibissaddle.peer.ServiceLoad;
@@ -42,6 +43,11 @@
     /** How much sooner another region must answer to be worth the way there, milliseconds. */
     private static final long FORWARD_MARGIN_MS = 150;
 
+    /** Reading that is saved, as a part of the way there and back, from which the way is worth it. */
+    private static final double MIN_READ_SHARE = 0.25;
+    /** Part of the latency objective that the way to another region and back may take. */
+    private static final double ROUND_TRIP_SHARE = 0.25;
+
     /** Least urgent rank that a server knows. */
     private static final int LOWEST_PRIORITY = 9;
 
@@ -153,8 +159,9 @@
             case Choice.Found found -> {
                 long readMs = core.backends().readMs(service, work);
                 Optional<PeerState> faster = peerWithRoom(found.waitMs() - readMs - FORWARD_MARGIN_MS);
-                if (faster.isPresent()) {
-                    sendToPeer(faster.get());
+                Optional<PeerState> owner = faster.isPresent() ? faster : owningPeer(found);
+                if (owner.isPresent()) {
+                    sendToPeer(owner.get());
                 } else {
                     sendToServer(found);
                 }
@@ -192,10 +199,33 @@
     }
 
     private Optional<PeerState> peerWithRoom(long maxWaitMs) {
-        return anyPeer().filter(peer -> {
-            ServiceLoad load = peer.services().get(service);
-            return load.freeSlots() > 0 && load.waitMs() < maxWaitMs;
-        });
+        return anyPeer().filter(peer -> hasRoom(peer, maxWaitMs));
+    }
+
+    private boolean hasRoom(PeerState peer, long maxWaitMs) {
+        ServiceLoad load = peer.services().get(service);
+        return load.freeSlots() > 0 && load.waitMs() < maxWaitMs;
+    }
+
+    /** The instance of another region that presumably has the shared parts, where reading them here takes longer. */
+    private Optional<PeerState> owningPeer(Choice.Found here) {
+        long unsharedMs = request.forwarded() ? 0 : core.backends().unsharedReadMs(service, work);
+        if (unsharedMs == 0) {
+            return Optional.empty();
+        }
+        Region own = core.settings().region();
+        Optional<Region> owning =
+                core.backends().owningRegion(service, work, route.homeRegions()).filter(region -> !region.equals(own));
+        Optional<Double> roundTripMs = owning.flatMap(core.peers()::roundTripMs);
+        if (roundTripMs.isEmpty()
+                || unsharedMs < roundTripMs.get() * MIN_READ_SHARE
+                || roundTripMs.get() > route.targetLatencyMs() * ROUND_TRIP_SHARE) {
+            return Optional.empty();
+        }
+        long maxWaitMs = here.waitMs() + unsharedMs;
+        return core.peers()
+                .bestFor(service, Set.of(owning.get()), own, triedPeers, core.nowMs())
+                .filter(peer -> hasRoom(peer, maxWaitMs));
     }
 
     private void sendToServer(Choice.Found choice) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -68,6 +68,7 @@
             feed.start();
             core.peerCalls().start(feed::isReachable);
             core.waiting().start();
+            new CacheFeed(core).start();
             core.every(gateway::sweep, SWEEP_MS);
         });
         try {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerCalls.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerCalls.java
@@ -130,10 +130,11 @@
             byte[] body = mapper.writeValueAsBytes(message(Long.MAX_VALUE, false));
             HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH);
             request.headers().set("Host", target.toString()).set("Content-Length", body.length);
+            long sentMs = core.nowMs();
             new WholeAnswer(
                             core,
                             ANSWER_MS,
-                            this::answered,
+                            (status, answer) -> answered(status, answer, core.nowMs() - sentMs),
                             reason -> core.peers().unreachable(target, core.nowMs()))
                     .send(new Endpoint("peer", target), request, Unpooled.wrappedBuffer(body), OPTIONS);
         } catch (IOException e) {
@@ -141,13 +142,15 @@
         }
     }
 
-    private void answered(int status, byte[] body) {
+    private void answered(int status, byte[] body, long tookMs) {
         if (status != OK) {
             core.log().notable("peer-answered", "status", status);
             return;
         }
         try {
-            learn(mapper.readValue(body, PeerMessage.class));
+            PeerMessage message = mapper.readValue(body, PeerMessage.class);
+            learn(message);
+            core.peers().observedRoundTrip(message.sender().toPeerState().region(), tookMs);
         } catch (IOException | InvalidNameException e) {
             core.log().notable("bad-peer-message", "reason", e.getMessage());
         }
