Start from class data of a training run that serves requests

The archive held no class of the request path, method handles were linked anew at each start (77 forms), and Netty linked native functions for its buffers (28 more, 141 classes).

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/TrainCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/TrainCommand.java
@@ -3,38 +3,32 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.ibissaddle.daemon.gateway.Gateway;
 import org.ibissaddle.daemon.gateway.GatewaySettings;
 import org.ibissaddle.daemon.gateway.GatewaySettingsReader;
 import org.ibissaddle.daemon.settings.SettingsException;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.platform.SampleMessages;
 
-/** Runs a gateway for a moment on loopback, so that its classes can be archived for a quicker start. */
+/**
+ * Runs gateways of two regions for a moment on loopback and sends them requests, so that the classes of a start and of
+ * a request can be archived for a quicker start.
+ */
 final class TrainCommand implements Command {
-    private static final long RUN_MS = 1_500;
-    private static final String SETTINGS = """
-            [instance]
-            name = training
-            region = here
-            zone = here-a
-            zones = here-a:here
-            [gateway]
-            caller-address = 127.0.0.1:0
-            readiness-address = 127.0.0.1:0
-            directory-address = 127.0.0.1:0
-            peer-address = 127.0.0.1:0
-            metrics-port = 0
-            [platform]
-            store-address = 127.0.0.1:9
-            [bounds]
-            retry-ratio = 0.2
-            retry-window-s = 10
-            retry-slack = 10
-            stop-grace-s = 1
-            directory-ttl-s = 5
-            """;
+    private static final int ROUNDS = 100;
+    /** Time for the gateways to hear of each other and of the store, milliseconds. */
+    private static final long WARM_UP_MS = 1_200;
 
     @Override
     public String name() {
@@ -48,7 +42,7 @@
 
     @Override
     public String summary() {
-        return "Runs a gateway for a moment, for the archive of class data that the build makes.";
+        return "Runs gateways for a moment, for the archive of class data that the build makes.";
     }
 
     @Override
@@ -58,21 +52,99 @@
 
     @Override
     public int run(CommandLine line, PrintStream out) throws CommandFailedException {
-        try {
-            GatewaySettings settings = GatewaySettingsReader.read("training", SETTINGS);
-            try (Gateway gateway = Gateway.start(
-                    settings,
-                    () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
-                    OutputStream.nullOutputStream())) {
-                TimeUnit.MILLISECONDS.sleep(RUN_MS);
-                gateway.drain();
+        try (SamplePlatform platform = new SamplePlatform(new Zone("north-a"))) {
+            parseAsAtAStart();
+            List<Integer> ports = freePorts(8);
+            GatewaySettings north = settings("north", platform, ports.subList(0, 4), ports.get(6));
+            GatewaySettings south = settings("south", platform, ports.subList(4, 8), ports.get(2));
+            try (Gateway near = start(north);
+                    Gateway far = start(south)) {
+                TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
+                int served = askAll(north) + askAll(south);
+                out.println("answers=" + served);
+                far.drain();
+                near.drain();
+                return served == 0 ? 1 : 0;
             }
-            return 0;
-        } catch (SettingsException | IOException e) {
-            throw new CommandFailedException(e.getMessage(), e);
+        } catch (SettingsException | IOException | ParseException e) {
+            throw new CommandFailedException("the training run failed: " + e.getMessage(), e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return 1;
         }
     }
+
+    private static void parseAsAtAStart() throws ParseException {
+        Options options = new GatewayCommand().options();
+        SettingsOption.file(DefaultParser.builder().get().parse(options, new String[] {"--config", "none"}));
+    }
+
+    private static GatewaySettings settings(String region, SamplePlatform platform, List<Integer> ports, int seed)
+            throws SettingsException {
+        String text =
+                """
+            [instance]
+            name = %1$s
+            region = %1$s
+            zone = %1$s-a
+            zones = north-a:north,south-a:south
+            [gateway]
+            caller-address = 127.0.0.1:%2$d
+            readiness-address = 127.0.0.1:%3$d
+            directory-address = 127.0.0.1:%3$d
+            peer-address = 127.0.0.1:%4$d
+            metrics-port = %5$d
+            [platform]
+            store-address = %6$s
+            [peers]
+            seeds = 127.0.0.1:%7$d
+            [bounds]
+            retry-ratio = 0.2
+            retry-window-s = 10
+            retry-slack = 10
+            stop-grace-s = 1
+            directory-ttl-s = 5
+            """.formatted(region, ports.get(0), ports.get(1), ports.get(2), ports.get(3), platform.address(), seed);
+        return GatewaySettingsReader.read("training", text);
+    }
+
+    private static Gateway start(GatewaySettings settings) throws IOException {
+        return Gateway.start(
+                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
+    }
+
+    private static int askAll(GatewaySettings settings) throws IOException {
+        int served = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+            for (String request : SampleMessages.requests(i)) {
+                served += ask(settings.callerAddress().port(), request) ? 1 : 0;
+            }
+        }
+        for (String question : SampleMessages.questions()) {
+            ask(settings.directoryAddress().port(), question);
+        }
+        return served;
+    }
+
+    private static boolean ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            return answer.startsWith("HTTP/1.1 200");
+        }
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> probes = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                probes.add(new ServerSocket(0));
+            }
+            return probes.stream().map(ServerSocket::getLocalPort).toList();
+        } finally {
+            for (ServerSocket probe : probes) {
+                probe.close();
+            }
+        }
+    }
 }
