Hold requests for the first configuration; send shared parts to their region also when this one is full

Two causes, seen in traces. They wait now, for 500 ms at most. Now it goes there while that region has room. The line of a failed attempt says whether time or the retry budget forbade another one. Tests: a start without a configuration, and two instances of two regions (forwarding, bound routes, a new configuration, a leaving server, a lost region).

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -226,15 +226,15 @@
     }
 
     /**
-     * Predicts how long a server of a service takes to read a prompt that it doesn't keep.
+     * Predicts how long a server of a service takes to read tokens that it doesn't keep.
      *
      * @param service the service
-     * @param work the request
+     * @param tokens prompt tokens
      * @return milliseconds
      */
-    public long readMs(String service, Work work) {
+    public long readMs(String service, int tokens) {
         EngineSpeed speed = speeds.get(service);
-        return speed == null ? 0 : Math.round(speed.readMs(work.promptTokens()));
+        return speed == null ? 0 : Math.round(speed.readMs(tokens));
     }
 
     private EngineSpeed speed(String service) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -36,6 +36,8 @@
     private static final long ONCE_IDLE_MS = 400;
     /** Idle time after which a kept connection carries no request that may be repeated, milliseconds. */
     private static final long REPEATABLE_IDLE_MS = 3_000;
+    /** Time that a request waits for the first configuration of a process that has just started, milliseconds. */
+    private static final long MAX_CONFIGURATION_WAIT_MS = 500;
     /** Time to open a connection within a region, milliseconds. */
     private static final int CONNECT_TIMEOUT_MS = 300;
     /** Time to open a connection to another region, milliseconds. */
@@ -79,12 +81,24 @@
 
     void start() {
         id = Optional.ofNullable(request.header(Headers.REQUEST_ID)).orElse("");
+        if (core.catalog().configuration().isEmpty()) {
+            core.whenConfigured(this::configured, request.arrivedMs() + MAX_CONFIGURATION_WAIT_MS);
+            return;
+        }
+        configured();
+    }
+
+    private void configured() {
+        if (over) {
+            return;
+        }
+        if (core.catalog().configuration().isEmpty()) {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration is known yet");
+            return;
+        }
         Optional<Route> found = core.route(request.header("Host"), request.path());
         if (found.isEmpty()) {
-            boolean known = core.catalog().configuration().isPresent();
-            refuse(
-                    known ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    known ? "no route" : "no configuration is known yet");
+            refuse(HttpResponseStatus.NOT_FOUND, "no route");
             return;
         }
         route = found.get();
@@ -142,7 +156,15 @@
         if (over) {
             return;
         }
-        core.log().notable("caller-gone", "request", id, "afterMs", elapsedMs(), "answering", relay.isStarted());
+        core.log()
+                .notable(
+                        "caller-gone",
+                        "request",
+                        id,
+                        "afterMs",
+                        elapsedMs(),
+                        "answering",
+                        relay != null && relay.isStarted());
         finish("gone");
     }
 
@@ -157,7 +179,7 @@
         Choice choice = local ? choose() : new Choice.Absent("this region is no home of route " + route.name());
         switch (choice) {
             case Choice.Found found -> {
-                long readMs = core.backends().readMs(service, work);
+                long readMs = core.backends().readMs(service, work.promptTokens());
                 Optional<PeerState> faster = peerWithRoom(found.waitMs() - readMs - FORWARD_MARGIN_MS);
                 Optional<PeerState> owner = faster.isPresent() ? faster : owningPeer(found);
                 if (owner.isPresent()) {
@@ -199,7 +221,8 @@
     }
 
     private Optional<PeerState> peerWithRoom(long maxWaitMs) {
-        return anyPeer().filter(peer -> hasRoom(peer, maxWaitMs));
+        Optional<PeerState> owner = owningPeer(core.backends().readMs(service, work.sharedTokens()), maxWaitMs);
+        return owner.isPresent() ? owner : anyPeer().filter(peer -> hasRoom(peer, maxWaitMs));
     }
 
     private boolean hasRoom(PeerState peer, long maxWaitMs) {
@@ -209,25 +232,29 @@
 
     /** The instance of another region that presumably has the shared parts, where reading them here takes longer. */
     private Optional<PeerState> owningPeer(Choice.Found here) {
-        long unsharedMs = request.forwarded() ? 0 : core.backends().unsharedReadMs(service, work);
-        if (unsharedMs == 0) {
-            return Optional.empty();
-        }
+        long unsharedMs = core.backends().unsharedReadMs(service, work);
+        return unsharedMs == 0 ? Optional.empty() : owningPeer(unsharedMs, here.waitMs() + unsharedMs);
+    }
+
+    private Optional<PeerState> owningPeer(long savedMs, long maxWaitMs) {
         Region own = core.settings().region();
-        Optional<Region> owning =
-                core.backends().owningRegion(service, work, route.homeRegions()).filter(region -> !region.equals(own));
-        Optional<Double> roundTripMs = owning.flatMap(core.peers()::roundTripMs);
-        if (roundTripMs.isEmpty()
-                || unsharedMs < roundTripMs.get() * MIN_READ_SHARE
-                || roundTripMs.get() > route.targetLatencyMs() * ROUND_TRIP_SHARE) {
+        Optional<Region> owning = request.forwarded()
+                ? Optional.empty()
+                : core.backends().owningRegion(service, work, route.homeRegions());
+        Optional<Double> roundTripMs =
+                owning.filter(region -> !region.equals(own)).flatMap(core.peers()::roundTripMs);
+        if (roundTripMs.isEmpty() || !isWorthTheWay(savedMs, roundTripMs.get())) {
             return Optional.empty();
         }
-        long maxWaitMs = here.waitMs() + unsharedMs;
         return core.peers()
                 .bestFor(service, Set.of(owning.get()), own, triedPeers, core.nowMs())
                 .filter(peer -> hasRoom(peer, maxWaitMs));
     }
 
+    private boolean isWorthTheWay(long savedMs, double roundTripMs) {
+        return savedMs >= roundTripMs * MIN_READ_SHARE && roundTripMs <= route.targetLatencyMs() * ROUND_TRIP_SHARE;
+    }
+
     private void sendToServer(Choice.Found choice) {
         BackendServer server = choice.server();
         triedServers.add(server.entry().id());
@@ -347,6 +374,10 @@
             reached++;
         }
         AttemptPolicy.Next next = next(evidence, reached);
+        boolean timeLeft = core.nowMs() < deadlineMs;
+        boolean allowed = next == AttemptPolicy.Next.RETRY
+                && timeLeft
+                && (!arrived || core.budget(service).take(core.peers().deploymentSize(), core.nowMs()));
         mayHaveRun |= evidence == AttemptPolicy.Evidence.MAY_HAVE_RUN;
         core.log()
                 .notable(
@@ -364,10 +395,12 @@
                         "afterMs",
                         elapsedMs(),
                         "next",
-                        next);
-        boolean timeLeft = core.nowMs() < deadlineMs;
-        boolean allowed = !arrived || core.budget(service).take(core.peers().deploymentSize(), core.nowMs());
-        if (next == AttemptPolicy.Next.RETRY && timeLeft && allowed) {
+                        next,
+                        "timeLeft",
+                        timeLeft,
+                        "withinBudget",
+                        allowed);
+        if (allowed) {
             core.metrics().retried(service);
             place();
             return;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -56,6 +57,7 @@
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
     private final Map<String, Long> requestsByRoute = new HashMap<>();
     private final Set<InboundHandler> connections = new HashSet<>();
+    private final Set<Runnable> unconfigured = new LinkedHashSet<>();
     private boolean draining;
     private long drainStartMs;
     private long drainEndMs;
@@ -210,8 +212,7 @@
             return Optional.of(new HeadRefusal(HttpResponseStatus.BAD_REQUEST, "no host, or the target is no path"));
         }
         if (catalog.configuration().isEmpty()) {
-            return Optional.of(
-                    new HeadRefusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "no configuration is known yet"));
+            return Optional.empty();
         }
         String path = head.uri().split("\\?", 2)[0];
         Optional<Route> route = route(host, path);
@@ -258,9 +259,32 @@
         }
         if (!news.isEmpty()) {
             waiting.retryAll();
+            runConfigured();
         }
     }
 
+    /** Runs a task when the first configuration is known, or when its time is up. */
+    void whenConfigured(Runnable task, long untilMs) {
+        unconfigured.add(task);
+        schedule(
+                () -> {
+                    if (unconfigured.remove(task)) {
+                        task.run();
+                    }
+                },
+                untilMs - nowMs());
+    }
+
+    private void runConfigured() {
+        if (unconfigured.isEmpty() || catalog.configuration().isEmpty()) {
+            return;
+        }
+        List<Runnable> tasks = List.copyOf(unconfigured);
+        unconfigured.clear();
+        log.notable("requests-held-for-configuration", "count", tasks.size());
+        tasks.forEach(Runnable::run);
+    }
+
     void serversKnown() {
         serversKnown = true;
     }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -54,6 +54,22 @@
         platform.put("servers/s1", ENTRY.formatted(first.address(), "ready"));
         caller = freeAddress();
         directory = freeAddress();
+        gateway = startNorth(caller, directory, platform);
+        while (!ask(directory, "GET /readyz HTTP/1.1\r\nConnection: close\r\n\r\n")
+                .startsWith("HTTP/1.1 200")) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        gateway.close();
+        platform.close();
+        first.close();
+        second.close();
+    }
+
+    private static Gateway startNorth(Address caller, Address directory, PlatformDouble platform) throws IOException {
         GatewaySettings settings = new GatewaySettings(
                 new InstanceId("north-1"),
                 new Region("north"),
@@ -67,20 +83,8 @@
                 platform.address(),
                 List.of(),
                 new GatewaySettings.Bounds(0.2, 10_000, 1_000, 4_000, 5));
-        gateway = Gateway.start(
+        return Gateway.start(
                 settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
-        while (!ask(directory, "GET /readyz HTTP/1.1\r\nConnection: close\r\n\r\n")
-                .startsWith("HTTP/1.1 200")) {
-            Thread.onSpinWait();
-        }
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        gateway.close();
-        platform.close();
-        first.close();
-        second.close();
     }
 
     private static Address freeAddress() throws IOException {
@@ -269,6 +273,40 @@
         }
     }
 
+    /** Pattern: all processes start at once while callers keep coming. */
+    @Nested
+    class Start {
+        @Test
+        void shouldServeARequestThatCameBeforeTheFirstConfiguration() throws IOException {
+            Address early = freeAddress();
+            try (PlatformDouble empty = new PlatformDouble();
+                    Gateway starting = startNorth(early, freeAddress(), empty);
+                    Socket socket = new Socket(InetAddress.getLoopbackAddress(), early.port())) {
+                assertThat(starting).isNotNull();
+                String request =
+                        "GET /any/7 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n\r\n";
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                empty.put("servers/s1", ENTRY.formatted(first.address(), "ready"));
+                empty.put("op/config", CONFIGURATION);
+
+                assertThat(readAll(socket.getInputStream())).startsWith("HTTP/1.1 200");
+            }
+        }
+
+        @Test
+        void shouldRefuseARequestWhenNoConfigurationComes() throws IOException {
+            Address early = freeAddress();
+            try (PlatformDouble empty = new PlatformDouble();
+                    Gateway starting = startNorth(early, freeAddress(), empty)) {
+                assertThat(starting).isNotNull();
+                String request =
+                        "GET /any/7 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n\r\n";
+
+                assertThat(ask(early, request)).startsWith("HTTP/1.1 503").containsIgnoringCase("Retry-After");
+            }
+        }
+    }
+
     @Nested
     class Changes {
         @Test
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
@@ -0,0 +1,151 @@
+package org.ibissaddle.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Two instances in two regions; only the southern one has a server. */
+class TwoRegionsTest {
+    private static final String CONFIGURATION = """
+            {"version":%d,"routes":[
+             {"name":"anywhere","host":"h.example","pathPrefix":"/%s/","kind":"idempotent","timeoutMs":3000,
+              "targetLatencyMs":900,"priority":2,"service":"ledger","maxAttempts":2},
+             {"name":"bound","host":"h.example","pathPrefix":"/bound/","kind":"idempotent","timeoutMs":3000,
+              "targetLatencyMs":900,"priority":2,"service":"ledger","maxAttempts":2,"homeRegions":["north"]}],
+             "services":[{"name":"ledger","healthPath":"/healthz"}],"limits":{}}""";
+    private static final String ENTRY = """
+            {"service":"ledger","address":"%s","zone":"south-a","slots":6,"state":"%s","coldLeftMs":0,"seq":1}""";
+
+    private PlatformDouble platform;
+    private ServerDouble server;
+    private Gateway north;
+    private Gateway south;
+    private Address caller;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = new PlatformDouble();
+        server = new ServerDouble("s1");
+        platform.put("op/config", CONFIGURATION.formatted(1, "first"));
+        platform.put("servers/s1", ENTRY.formatted(server.address(), "ready"));
+        Address northPeer = freeAddress();
+        Address southPeer = freeAddress();
+        caller = freeAddress();
+        north = start("north", caller, northPeer, southPeer);
+        south = start("south", freeAddress(), southPeer, northPeer);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        north.close();
+        south.close();
+        platform.close();
+        server.close();
+    }
+
+    private Gateway start(String region, Address callers, Address peer, Address seed) throws IOException {
+        Address questions = freeAddress();
+        GatewaySettings settings = new GatewaySettings(
+                new InstanceId(region + "-1"),
+                new Region(region),
+                new Zone(region + "-a"),
+                Map.of(new Zone("north-a"), new Region("north"), new Zone("south-a"), new Region("south")),
+                callers,
+                questions,
+                questions,
+                peer,
+                0,
+                platform.address(),
+                List.of(seed),
+                new GatewaySettings.Bounds(0.2, 10_000, 1_000, 1_000, 5));
+        return Gateway.start(
+                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0)) {
+            return new Address("127.0.0.1", probe.getLocalPort());
+        }
+    }
+
+    private String call(String path) throws IOException {
+        String request = "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n\r\n";
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), caller.port())) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private void callUntil(String path, String answer) throws IOException {
+        while (!call(path).startsWith(answer)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void shouldSendARequestWhereItsServersAre() throws IOException {
+        callUntil("/first/7", "HTTP/1.1 200");
+
+        assertThat(server.arrivals())
+                .isNotEmpty()
+                .allSatisfy(request -> assertThat(request)
+                        .containsEntry("x-expect-instance", "s1")
+                        .containsEntry("x-attempt-id", "7"));
+    }
+
+    @Test
+    void shouldNotSendABoundRequestToARegionThatIsNoHome() throws IOException {
+        callUntil("/first/7", "HTTP/1.1 200");
+        server.arrivals().clear();
+
+        assertThat(call("/bound/7")).startsWith("HTTP/1.1 503");
+        assertThat(server.arrivals()).isEmpty();
+    }
+
+    @Test
+    void shouldFollowANewConfigurationInBothRegions() throws IOException {
+        callUntil("/first/7", "HTTP/1.1 200");
+
+        platform.put("op/config", CONFIGURATION.formatted(2, "second"));
+
+        callUntil("/second/7", "HTTP/1.1 200");
+        callUntil("/first/7", "HTTP/1.1 404");
+    }
+
+    @Test
+    void shouldSendNothingToALeavingServerOfAnotherRegion() throws IOException {
+        callUntil("/first/7", "HTTP/1.1 200");
+        platform.put("servers/s1", ENTRY.formatted(server.address(), "draining"));
+        callUntil("/first/7", "HTTP/1.1 503");
+        server.arrivals().clear();
+
+        assertThat(call("/first/7")).startsWith("HTTP/1.1 503");
+        assertThat(server.arrivals()).isEmpty();
+    }
+
+    @Test
+    void shouldRefuseAsNotRunWhenTheOtherRegionIsGone() throws IOException {
+        callUntil("/first/7", "HTTP/1.1 200");
+        south.close();
+        callUntil("/first/7", "HTTP/1.1 503");
+        server.arrivals().clear();
+
+        assertThat(call("/first/7")).startsWith("HTTP/1.1 503");
+        assertThat(server.arrivals()).isEmpty();
+    }
+}
