--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCallReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/ModelCallReader.java
@@ -44,8 +44,8 @@
             String field = parser.currentName();
             JsonToken value = parser.nextToken();
             switch (field) {
-                case "model" -> model = Optional.ofNullable(parser.getValueAsString());
-                case "stream" -> stream = value == JsonToken.VALUE_TRUE;
+                case "model" -> model = Optional.of(text(field, parser));
+                case "stream" -> stream = flag(field, value);
                 case "max_tokens", "max_completion_tokens" -> maxTokens = positive(field, parser);
                 case "messages", "prompt" -> readPrompt(parser, prompt);
                 default -> parser.skipChildren();
@@ -60,6 +60,20 @@
         return new ModelCall(model.get(), stream, maxTokens, prompt.tokens(), prompt.chain());
     }
 
+    private static String text(String field, JsonParser parser) throws IOException, RefusedException {
+        if (parser.currentToken() != JsonToken.VALUE_STRING) {
+            throw malformed("field \"" + field + "\" is not a text");
+        }
+        return parser.getText();
+    }
+
+    private static boolean flag(String field, JsonToken value) throws RefusedException {
+        if (value != JsonToken.VALUE_TRUE && value != JsonToken.VALUE_FALSE && value != JsonToken.VALUE_NULL) {
+            throw malformed("field \"" + field + "\" is neither true nor false");
+        }
+        return value == JsonToken.VALUE_TRUE;
+    }
+
     private static int positive(String field, JsonParser parser) throws IOException, RefusedException {
         if (parser.currentToken() != JsonToken.VALUE_NUMBER_INT || parser.getLongValue() <= 0) {
             throw malformed("field \"" + field + "\" is not a whole number above 0");
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/path/FuzzParsersTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/path/FuzzParsersTest.java
@@ -34,6 +34,7 @@
                 check(parser, parser.input(new SplittableRandom(seed)), seed);
             }
         }
+        System.out.printf("fuzz report: tries=%d seed=%d parsers=%d%n", tries, first, ParserInputs.values().length);
     }
 
     private static void check(ParserInputs parser, byte[] input, long seed) {
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/Chunks.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/Chunks.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.ibissaddle.standins.PromptBlocks;
 import org.ibissaddle.standins.internal.Json;
 
 /** Writes answers in the usual chat and text forms. */
@@ -29,12 +30,14 @@
     }
 
     /** A whole answer. */
-    static Object whole(CompletionRequest request, String text, String finishReason) {
+    static Object whole(CompletionRequest request, int promptTokens, String text, String finishReason) {
         Object choice = request.chat()
                 ? new MessageChoice(0, new Message("assistant", text), finishReason)
                 : new TextChoice(0, text, Optional.of(finishReason));
         String kind = request.chat() ? "chat.completion" : "text_completion";
-        return new Completion(request.id(), kind, request.model(), List.of(choice));
+        int answerTokens = PromptBlocks.tokens(text);
+        Usage usage = new Usage(promptTokens, answerTokens, promptTokens + answerTokens);
+        return new WholeCompletion(request.id(), kind, request.model(), List.of(choice), usage);
     }
 
     /** The headers that name a request. */
@@ -44,6 +47,10 @@
 
     private record Completion(String id, String object, String model, List<Object> choices) {}
 
+    private record WholeCompletion(String id, String object, String model, List<Object> choices, Usage usage) {}
+
+    private record Usage(int promptTokens, int completionTokens, int totalTokens) {}
+
     private record DeltaChoice(int index, Content delta, Optional<String> finishReason) {}
 
     private record TextChoice(int index, String text, Optional<String> finishReason) {}
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/JsonAnswer.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/internal/engine/JsonAnswer.java
@@ -42,7 +42,7 @@
                 .orElseGet(() ->
                         generation.answer().substring(request.continueText().length()));
         CompletionRequest named = crossed.orElse(request);
-        Reply reply = Reply.json(200, Chunks.whole(named, text, generation.finishReason()));
+        Reply reply = Reply.json(200, Chunks.whole(named, generation.promptTokens(), text, generation.finishReason()));
         for (var header : Chunks.headers(named).entrySet()) {
             reply = reply.withHeader(header.getKey(), header.getValue());
         }
--- a/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
+++ b/ibissaddle-standins/src/test/java/org/ibissaddle/standins/EngineStandinTest.java
@@ -82,6 +82,11 @@
                             .formatted(MODEL);
             HttpResponse<String> reply = calls.send("POST", "/v1/chat/completions", body, "X-Request-Id", "r1");
 
+            int prompt = tree(reply.body()).at("/usage/prompt_tokens").asInt();
+            int answer = tree(reply.body()).at("/usage/completion_tokens").asInt();
+            assertThat(prompt).isPositive();
+            assertThat(answer).isPositive();
+            assertThat(tree(reply.body()).at("/usage/total_tokens").asInt()).isEqualTo(prompt + answer);
             assertThat(tree(reply.body()).at("/choices/0/message/content").asText())
                     .isEqualTo(AnswerText.answerFor(MODEL, "one two", 9));
             assertThat(reply.headers().firstValue("X-Request-Id")).contains("r1");
