Decide the region of a request in the library; count only shared tokens for the owner of a prompt

Cause: a test of cache events found that the server that owns a prompt by its hash went before the one that keeps the shared part: its discount held for all unread tokens, also for those of the request's own part, so that shared parts were copied without need. The discount holds for unread shared tokens now. The choice among regions moves from the daemon's longest class to RegionChoice in the library, with a test of the load pattern; a forwarded request stays, as before.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/Backends.java
@@ -25,7 +25,7 @@
     private static final double COLD_SHARE = 0.8;
     /** Share of an engine's memory that requests in flight may fill; the rest keeps shared parts of prompts. */
     private static final double MEMORY_SHARE = 0.85;
-    /** Part of the missing tokens that the preferred server of a prompt presumably has from another instance. */
+    /** Part of the unread shared tokens that the preferred server of a prompt presumably has from another instance. */
     private static final double OWNER_DISCOUNT = 0.5;
     /** Prompt tokens that a running request costs the others, as a weight between load and prefill. */
     private static final double TOKENS_PER_RUNNING = 60;
@@ -307,7 +307,8 @@
             return (double) (load + 1) / Math.max(1, server.entry().slots());
         }
         int copied = source.map(from -> server.tokensToCopy(work, from)).orElse(0);
-        double missing = (server.missingTokens(work) - copied) * (isOwner ? OWNER_DISCOUNT : 1);
+        int unreadShared = Math.max(0, work.sharedTokens() - server.keptTokens(work) - copied);
+        double missing = server.missingTokens(work) - copied - (isOwner ? unreadShared * OWNER_DISCOUNT : 0);
         double copyMs = copied == 0 ? 0 : engine.get().copyMs(copied);
         return copyMs + speed.readMs(server.backlogTokens() + missing + load * TOKENS_PER_RUNNING);
     }
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionChoiceTest.java
@@ -0,0 +1,213 @@
+package org.ibissaddle.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.ibissaddle.backend.Backends;
+import org.ibissaddle.backend.CacheChange;
+import org.ibissaddle.backend.Choice;
+import org.ibissaddle.backend.PromptPart;
+import org.ibissaddle.backend.Work;
+import org.ibissaddle.catalog.Fact;
+import org.ibissaddle.catalog.ServerEntry;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.route.CallerLimits;
+import org.ibissaddle.route.Configuration;
+import org.ibissaddle.route.EngineSpec;
+import org.ibissaddle.route.RequestKind;
+import org.ibissaddle.route.Route;
+import org.ibissaddle.route.ServiceSpec;
+import org.ibissaddle.route.WeightedService;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Pattern: long prompts with shared parts come in every region, while each region's engines are few. */
+class RegionChoiceTest {
+    private static final Region NORTH = new Region("north");
+    private static final Region SOUTH = new Region("south");
+    private static final Region EAST = new Region("east");
+    private static final String ENGINES = "engines";
+    private static final long OBJECTIVE_MS = 1_200;
+    private static final long ROUND_TRIP_MS = 110;
+    private static final int FREE = 30;
+    /** What an engine with little to do takes for a middling answer, until its pace is known. */
+    private static final long USUAL_WAIT_MS = 300;
+
+    private final Backends backends =
+            new Backends(NORTH, Map.of(zone(NORTH), NORTH, zone(SOUTH), SOUTH, zone(EAST), EAST));
+    private final Peers peers = new Peers(new InstanceId("north-1"));
+    private final RegionChoice regions = new RegionChoice(NORTH, backends, peers);
+
+    @BeforeEach
+    void start() {
+        ServiceSpec engines = new ServiceSpec(
+                ENGINES, "/health", 100, 0, 0, Optional.of(new EngineSpec(64, 300_000, 5, 100_000, 800_000)));
+        backends.learn(
+                new Fact.ConfigurationPublished(
+                        new Configuration(1, List.of(), List.of(engines), CallerLimits.DEFAULT)),
+                0);
+        publish("n1", NORTH);
+        publish("s1", SOUTH);
+        publish("e1", EAST);
+        hear(SOUTH, FREE, USUAL_WAIT_MS, 1);
+        hear(EAST, FREE, USUAL_WAIT_MS, 1);
+        peers.observedRoundTrip(SOUTH, ROUND_TRIP_MS);
+        peers.observedRoundTrip(EAST, ROUND_TRIP_MS);
+        // Reading speeds are learnt; one observation makes the service known.
+        backends.observedFirstPiece(ENGINES, 0, 0);
+    }
+
+    private static Zone zone(Region region) {
+        return new Zone(region.name() + "-a");
+    }
+
+    private void publish(String id, Region region) {
+        ServerEntry entry = new ServerEntry(
+                new ServerId(id),
+                ENGINES,
+                Address.parse("10.0.0.1:" + (1_000 + id.hashCode())),
+                zone(region),
+                64,
+                false,
+                0,
+                OptionalLong.empty(),
+                OptionalLong.empty());
+        backends.learn(new Fact.ServerPublished(entry), 0);
+    }
+
+    private void hear(Region region, int freeSlots, long waitMs, long sequence) {
+        Address address = Address.parse("10.0.1." + region.name().length() + ":80");
+        PeerState state = new PeerState(
+                new InstanceId(region.name() + "-1"),
+                1,
+                sequence,
+                region,
+                zone(region),
+                address,
+                address,
+                true,
+                false,
+                0,
+                true,
+                Map.of(ENGINES, new ServiceLoad(freeSlots, waitMs)));
+        peers.learn(new Rumour(state, 0), 0);
+    }
+
+    private static Work dossier(String part) {
+        return new Work("m", 17_000, 100, List.of(new PromptPart(part, 13_300), new PromptPart("own", 3_700)));
+    }
+
+    private String partOf(Region owner) {
+        for (int i = 0; i < 1_000; i++) {
+            if (backends.owningRegion(ENGINES, dossier("part" + i), Set.of()).equals(Optional.of(owner))) {
+                return "part" + i;
+            }
+        }
+        throw new AssertionError("no part is owned by " + owner);
+    }
+
+    private static Route route(long objectiveMs, Set<Region> homes) {
+        return new Route(
+                "dossiers",
+                "h",
+                "/",
+                RequestKind.STREAMING,
+                8_000,
+                objectiveMs,
+                1,
+                List.of(new WeightedService(ENGINES, 1)),
+                1,
+                false,
+                homes);
+    }
+
+    private Optional<Region> chosen(Work work, Route route) {
+        Choice here = backends.choose(ENGINES, work, Set.of(), 1, 0);
+        return chosen(work, route, here);
+    }
+
+    private Optional<Region> chosen(Work work, Route route, Choice here) {
+        return regions.choose(new RegionChoice.Request(route, ENGINES, work, Set.of()), here, 0)
+                .map(PeerState::region);
+    }
+
+    @Nested
+    class WithRoomHere {
+        @Test
+        void shouldGoWhereTheSharedPartIsRead() {
+            assertThat(chosen(dossier(partOf(SOUTH)), route(OBJECTIVE_MS, Set.of())))
+                    .contains(SOUTH);
+            assertThat(chosen(dossier(partOf(EAST)), route(OBJECTIVE_MS, Set.of())))
+                    .contains(EAST);
+            assertThat(chosen(dossier(partOf(NORTH)), route(OBJECTIVE_MS, Set.of())))
+                    .isEmpty();
+        }
+
+        @Test
+        void shouldStayWhenAServerHereKeepsTheSharedPart() {
+            String part = partOf(SOUTH);
+            backends.server(new ServerId("n1")).orElseThrow().cacheChanged(new CacheChange("m", part, 13_300));
+
+            assertThat(chosen(dossier(part), route(OBJECTIVE_MS, Set.of()))).isEmpty();
+        }
+
+        @Test
+        void shouldStayWhenTheWayTakesTooMuchOfTheObjective() {
+            assertThat(chosen(dossier(partOf(SOUTH)), route(ROUND_TRIP_MS * 2, Set.of())))
+                    .isEmpty();
+        }
+
+        @Test
+        void shouldStayWhenTheOtherRegionIsMuchBusier() {
+            hear(SOUTH, FREE, 5_000, 2);
+
+            assertThat(chosen(dossier(partOf(SOUTH)), route(OBJECTIVE_MS, Set.of())))
+                    .isEmpty();
+        }
+
+        @Test
+        void shouldStayWithShortPrompts() {
+            Work question = new Work("m", 400, 50, List.of(new PromptPart("greeting", 60), new PromptPart("own", 340)));
+
+            assertThat(chosen(question, route(OBJECTIVE_MS, Set.of()))).isEmpty();
+        }
+    }
+
+    @Nested
+    class WithoutRoomHere {
+        private final Choice full = new Choice.Busy("full");
+
+        @Test
+        void shouldPreferTheRegionThatReadsTheSharedPart() {
+            hear(SOUTH, FREE, 900, 2);
+
+            assertThat(chosen(dossier(partOf(SOUTH)), route(OBJECTIVE_MS, Set.of()), full))
+                    .contains(SOUTH);
+        }
+
+        @Test
+        void shouldGoToAnotherRegionWhenThatOneIsFull() {
+            hear(SOUTH, 0, USUAL_WAIT_MS, 2);
+
+            assertThat(chosen(dossier(partOf(SOUTH)), route(OBJECTIVE_MS, Set.of()), full))
+                    .contains(EAST);
+        }
+
+        @Test
+        void shouldNeverLeaveTheHomes() {
+            assertThat(chosen(dossier(partOf(SOUTH)), route(OBJECTIVE_MS, Set.of(NORTH, EAST)), full))
+                    .contains(EAST);
+            assertThat(chosen(dossier(partOf(SOUTH)), route(OBJECTIVE_MS, Set.of(NORTH)), full))
+                    .isEmpty();
+        }
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Exchange.java
@@ -17,10 +17,9 @@
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.dispatch.AttemptPolicy;
 import org.ibissaddle.id.Address;
-import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.peer.PeerState;
-import org.ibissaddle.peer.ServiceLoad;
+import org.ibissaddle.peer.RegionChoice;
 import org.ibissaddle.platform.HeaderValues;
 import org.ibissaddle.platform.Headers;
 import org.ibissaddle.route.RequestKind;
@@ -42,13 +41,6 @@
     private static final int CONNECT_TIMEOUT_MS = 300;
     /** Time to open a connection to another region, milliseconds. */
     private static final int PEER_CONNECT_TIMEOUT_MS = 500;
-    /** How much sooner another region must answer to be worth the way there, milliseconds. */
-    private static final long FORWARD_MARGIN_MS = 150;
-
-    /** Reading that is saved, as a part of the way there and back, from which the way is worth it. */
-    private static final double MIN_READ_SHARE = 0.25;
-    /** Part of the latency objective that the way to another region and back may take. */
-    private static final double ROUND_TRIP_SHARE = 0.25;
 
     /** Least urgent rank that a server knows. */
     private static final int LOWEST_PRIORITY = 9;
@@ -131,7 +123,7 @@
             sendToServer(found);
             return true;
         }
-        Optional<PeerState> peer = peerWithRoom(Long.MAX_VALUE);
+        Optional<PeerState> peer = elsewhere(choice);
         if (peer.isPresent()) {
             waiting = false;
             sendToPeer(peer.get());
@@ -176,83 +168,38 @@
 
     private void place() {
         boolean local = route.allows(core.settings().region());
-        Choice choice = local ? choose() : new Choice.Absent("this region is no home of route " + route.name());
-        switch (choice) {
-            case Choice.Found found -> {
-                long readMs = core.backends().readMs(service, work.promptTokens());
-                Optional<PeerState> faster = peerWithRoom(found.waitMs() - readMs - FORWARD_MARGIN_MS);
-                Optional<PeerState> owner = faster.isPresent() ? faster : owningPeer(found);
-                if (owner.isPresent()) {
-                    sendToPeer(owner.get());
-                } else {
-                    sendToServer(found);
-                }
-            }
-            case Choice.Busy busy -> placeElsewhere(busy.reason(), true);
-            case Choice.Absent absent -> placeElsewhere(absent.reason(), false);
-        }
-    }
-
-    private void placeElsewhere(String reason, boolean mayWait) {
-        Optional<PeerState> peer = mayWait ? peerWithRoom(Long.MAX_VALUE) : anyPeer();
-        if (peer.isPresent()) {
-            sendToPeer(peer.get());
+        Choice here = local ? choose() : new Choice.Absent("this region is no home of route " + route.name());
+        Optional<PeerState> elsewhere = elsewhere(here);
+        if (elsewhere.isPresent()) {
+            sendToPeer(elsewhere.get());
             return;
         }
-        if (mayWait && core.nowMs() < waitUntilMs && core.waiting().hasRoom(service)) {
-            waiting = true;
-            core.waiting().add(this);
-            return;
+        switch (here) {
+            case Choice.Found found -> sendToServer(found);
+            case Choice.Busy busy -> awaitServer(busy.reason());
+            case Choice.Absent absent -> refuseBusy(absent.reason());
         }
-        refuseBusy(reason);
-    }
-
-    private Choice choose() {
-        int sharers = core.peers().sharers(core.settings().region());
-        return core.backends().choose(service, work, triedServers, sharers, core.nowMs());
     }
 
-    private Optional<PeerState> anyPeer() {
-        if (request.forwarded()) {
-            return Optional.empty();
+    private void awaitServer(String reason) {
+        if (core.nowMs() >= waitUntilMs || !core.waiting().hasRoom(service)) {
+            refuseBusy(reason);
+            return;
         }
-        return core.peers()
-                .bestFor(service, route.homeRegions(), core.settings().region(), triedPeers, core.nowMs());
-    }
-
-    private Optional<PeerState> peerWithRoom(long maxWaitMs) {
-        Optional<PeerState> owner = owningPeer(core.backends().readMs(service, work.sharedTokens()), maxWaitMs);
-        return owner.isPresent() ? owner : anyPeer().filter(peer -> hasRoom(peer, maxWaitMs));
-    }
-
-    private boolean hasRoom(PeerState peer, long maxWaitMs) {
-        ServiceLoad load = peer.services().get(service);
-        return load.freeSlots() > 0 && load.waitMs() < maxWaitMs;
+        waiting = true;
+        core.waiting().add(this);
     }
 
-    /** The instance of another region that presumably has the shared parts, where reading them here takes longer. */
-    private Optional<PeerState> owningPeer(Choice.Found here) {
-        long unsharedMs = core.backends().unsharedReadMs(service, work);
-        return unsharedMs == 0 ? Optional.empty() : owningPeer(unsharedMs, here.waitMs() + unsharedMs);
-    }
-
-    private Optional<PeerState> owningPeer(long savedMs, long maxWaitMs) {
-        Region own = core.settings().region();
-        Optional<Region> owning = request.forwarded()
+    /** What another instance forwarded stays here, so that no request goes round. */
+    private Optional<PeerState> elsewhere(Choice here) {
+        return request.forwarded()
                 ? Optional.empty()
-                : core.backends().owningRegion(service, work, route.homeRegions());
-        Optional<Double> roundTripMs =
-                owning.filter(region -> !region.equals(own)).flatMap(core.peers()::roundTripMs);
-        if (roundTripMs.isEmpty() || !isWorthTheWay(savedMs, roundTripMs.get())) {
-            return Optional.empty();
-        }
-        return core.peers()
-                .bestFor(service, Set.of(owning.get()), own, triedPeers, core.nowMs())
-                .filter(peer -> hasRoom(peer, maxWaitMs));
+                : core.regions().choose(new RegionChoice.Request(route, service, work, triedPeers), here, core.nowMs());
     }
 
-    private boolean isWorthTheWay(long savedMs, double roundTripMs) {
-        return savedMs >= roundTripMs * MIN_READ_SHARE && roundTripMs <= route.targetLatencyMs() * ROUND_TRIP_SHARE;
+    private Choice choose() {
+        int sharers = core.peers().sharers(core.settings().region());
+        return core.backends().choose(service, work, triedServers, sharers, core.nowMs());
     }
 
     private void sendToServer(Choice.Found choice) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -25,6 +25,7 @@
 import org.ibissaddle.daemon.log.DecisionLog;
 import org.ibissaddle.dispatch.SharedRetryBudget;
 import org.ibissaddle.peer.Peers;
+import org.ibissaddle.peer.RegionChoice;
 import org.ibissaddle.platform.HeaderValues;
 import org.ibissaddle.platform.Headers;
 import org.ibissaddle.platform.PublishedFacts;
@@ -49,6 +50,7 @@
     private final Catalog catalog = new Catalog(new PublishedFacts());
     private final Backends backends;
     private final Peers peers;
+    private final RegionChoice regions;
     private final HttpClient client;
     private final HealthChecks healthChecks;
     private final PeerCalls peerCalls;
@@ -71,6 +73,7 @@
         this.metrics = new GatewayMetrics();
         this.backends = new Backends(settings.region(), settings.zones());
         this.peers = new Peers(settings.name());
+        this.regions = new RegionChoice(settings.region(), backends, peers);
         this.client = new HttpClient(loop, clock, this::closedUnexpectedly);
         this.healthChecks = new HealthChecks(this);
         this.peerCalls = new PeerCalls(this);
@@ -105,6 +108,10 @@
         return peers;
     }
 
+    RegionChoice regions() {
+        return regions;
+    }
+
     HttpClient client() {
         return client;
     }
