--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -85,6 +85,16 @@
         return nowMs < coldUntilMs;
     }
 
+    /**
+     * Returns the remaining cold-start period of the server.
+     *
+     * @param nowMs current time in milliseconds
+     * @return remaining time in milliseconds, 0 if the server is warm
+     */
+    public long coldRemainingMs(long nowMs) {
+        return Math.max(0, coldUntilMs - nowMs);
+    }
+
     /**
      * Returns whether the server is ejected because of repeated failures.
      *
