--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
@@ -0,0 +1,159 @@
+package org.ibissaddle.backend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.ibissaddle.catalog.CatalogEvent;
+import org.ibissaddle.catalog.ServerEntry;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.peer.PeerState;
+import org.ibissaddle.peer.PeerTable;
+import org.ibissaddle.peer.RelayedState;
+import org.ibissaddle.route.CallerLimits;
+import org.ibissaddle.route.Configuration;
+import org.ibissaddle.route.EngineSpec;
+import org.ibissaddle.route.ServiceSpec;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Many instances that send to the same cold server. */
+class ColdServerLimitTest {
+    private static final Region NORTH = new Region("north");
+    private static final Zone ZONE = new Zone("north-a");
+    private static final String ENGINES = "engines";
+    private static final long COLD_MS = 3_000;
+    private static final double COLD_PER_SECOND = 5.4;
+    /** Maximum number of requests that a cold server may receive in any second. */
+    private static final int MAX_ARRIVALS = (int) Math.floor(COLD_PER_SECOND * 1.5 + 3);
+
+    private static final long WINDOW_MS = 1_000;
+    private static final long STEP_MS = 10;
+
+    // The burst allowance of each instance once added up over all instances, and the server was overloaded.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4, 12, 126})
+    void shouldLimitTheRequestsToAColdServerForAnyNumberOfInstances(int count) {
+        List<Instance> instances = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            instances.add(new Instance(i, 0));
+        }
+        instances.forEach(instance -> instance.learn(instances));
+
+        List<Long> arrivals = sendAsMuchAsAllowed(instances, 10_000);
+
+        assertThat(maxPerWindow(arrivals)).isBetween(1, MAX_ARRIVALS);
+    }
+
+    // An instance that had just started took the whole limit, because it knew no other instance.
+    @Tag("known-red")
+    @Test
+    void shouldLimitTheRequestsToAColdServerAfterAllInstancesRestart() {
+        List<Instance> instances = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            instances.add(new Instance(i, 10_000));
+        }
+
+        List<Long> arrivals = sendAsMuchAsAllowed(instances, 10_000);
+
+        assertThat(maxPerWindow(arrivals)).isLessThanOrEqualTo(MAX_ARRIVALS);
+    }
+
+    /** Publishes a cold server and returns the times at which it receives requests. */
+    private static List<Long> sendAsMuchAsAllowed(List<Instance> instances, long startMs) {
+        instances.forEach(instance -> instance.publishColdServer(startMs));
+        List<Long> arrivals = new ArrayList<>();
+        for (long nowMs = startMs; nowMs < startMs + COLD_MS; nowMs += STEP_MS) {
+            for (Instance instance : instances) {
+                if (instance.send(nowMs)) {
+                    arrivals.add(nowMs);
+                }
+            }
+        }
+        return arrivals;
+    }
+
+    private static int maxPerWindow(List<Long> arrivals) {
+        int max = 0;
+        for (long end : arrivals) {
+            int inWindow = 0;
+            for (long at : arrivals) {
+                inWindow += at <= end && at > end - WINDOW_MS ? 1 : 0;
+            }
+            max = Math.max(max, inWindow);
+        }
+        return max;
+    }
+
+    private static final class Instance {
+        private final InstanceId id;
+        private final PeerTable peers;
+        private final BackendRegistry backends = new BackendRegistry(NORTH, Map.of(ZONE, NORTH));
+
+        Instance(int number, long startedMs) {
+            id = new InstanceId("north-" + number);
+            peers = new PeerTable(id);
+            ServiceSpec engines = new ServiceSpec(
+                    ENGINES,
+                    "/health",
+                    100,
+                    COLD_MS,
+                    COLD_PER_SECOND,
+                    Optional.of(new EngineSpec(64, 300_000, 5, 100_000, 800_000)));
+            backends.apply(
+                    new CatalogEvent.ConfigurationPublished(
+                            new Configuration(1, List.of(), List.of(engines), CallerLimits.DEFAULT)),
+                    startedMs);
+        }
+
+        void learn(List<Instance> others) {
+            for (Instance other : others) {
+                Address address = new Address("10.0.0.1", 1_000);
+                peers.update(
+                        new RelayedState(
+                                new PeerState(
+                                        other.id, 1, 1, NORTH, ZONE, address, address, true, false, 1, true, Map.of()),
+                                0),
+                        0);
+            }
+        }
+
+        void publishColdServer(long nowMs) {
+            ServerEntry entry = new ServerEntry(
+                    new ServerId("cold"),
+                    ENGINES,
+                    Address.parse("10.0.0.1:2000"),
+                    ZONE,
+                    16,
+                    false,
+                    COLD_MS,
+                    OptionalLong.empty(),
+                    OptionalLong.empty());
+            backends.apply(new CatalogEvent.ServerPublished(entry), nowMs);
+        }
+
+        /** Sends a request if the limit of this instance allows it, and returns whether it did. */
+        boolean send(long nowMs) {
+            ServerSelectionResult result = backends.selectServer(
+                    ENGINES, RequestDemand.PLAIN, Set.of(), peers.instancesInRegion(NORTH), nowMs);
+            if (!(result instanceof ServerSelectionResult.Selected selected)) {
+                return false;
+            }
+            selected.server()
+                    .requestSent(RequestDemand.PLAIN, 0, Long.MAX_VALUE, nowMs)
+                    .ended();
+            return true;
+        }
+    }
+}
