Keep a pending health check when an evacuation ends

The end of an evacuation marked the servers of the zone as cold through healthCheckSucceeded, which also cleared the health check that a server needed after a failed connection; requests went to a server that nobody had checked. The cold period and the health check are now separate; setColdPeriod, which nothing called, is gone. shouldKeepAPendingHealthCheckWhenAnEvacuationEnds failed before.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
@@ -446,7 +446,7 @@
         evacuated.remove(zone);
         for (BackendServer server : servers.values()) {
             if (server.entry().zone().equals(zone)) {
-                server.healthCheckSucceeded(coldMs(server.entry().service()), nowMs);
+                server.extendColdPeriod(coldMs(server.entry().service()), nowMs);
             }
         }
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -226,16 +226,6 @@
         reportedAtMs = nowMs;
     }
 
-    /**
-     * Sets the remaining cold-start period that the server reports.
-     *
-     * @param remainingMs remaining time in milliseconds, 0 if the server is warm
-     * @param nowMs current time in milliseconds
-     */
-    public void setColdPeriod(long remainingMs, long nowMs) {
-        coldUntilMs = nowMs + remainingMs;
-    }
-
     /**
      * Records the time between two events of a stream.
      *
@@ -269,6 +259,10 @@
      */
     public void healthCheckSucceeded(long coldForMs, long nowMs) {
         healthCheckPending = false;
+        extendColdPeriod(coldForMs, nowMs);
+    }
+
+    void extendColdPeriod(long coldForMs, long nowMs) {
         coldUntilMs = Math.max(coldUntilMs, nowMs + coldForMs);
     }
 
@@ -310,11 +304,11 @@
         entry = next;
         if (restarted || addressChanged) {
             prefixCache.clear();
-            coldUntilMs = Math.max(coldUntilMs, nowMs + Math.max(coldMs, next.coldForMs()));
+            extendColdPeriod(Math.max(coldMs, next.coldForMs()), nowMs);
             return;
         }
         if (next.coldForMs() > 0) {
-            coldUntilMs = Math.max(coldUntilMs, nowMs + next.coldForMs());
+            extendColdPeriod(next.coldForMs(), nowMs);
         }
     }
 
--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendRegistryTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendRegistryTest.java
@@ -166,6 +166,22 @@
         }
     }
 
+    @Nested
+    class PendingHealthChecks {
+        // The end of an evacuation once replaced the health check of a server that had failed meanwhile.
+        @Test
+        void shouldKeepAPendingHealthCheckWhenAnEvacuationEnds() {
+            publish("s", ENGINES, LOCAL_ZONE, false, 0);
+            backends.apply(new CatalogEvent.EvacuationRequested(LOCAL_ZONE), 10_000);
+            backends.server(new ServerId("s")).orElseThrow().requireHealthCheck();
+
+            backends.apply(new CatalogEvent.EvacuationWithdrawn(LOCAL_ZONE), 20_000);
+
+            assertThat(choose(ENGINES, RequestDemand.PLAIN, 20_000))
+                    .isInstanceOf(ServerSelectionResult.AtCapacity.class);
+        }
+    }
+
     @Nested
     class CacheTransfers {
         private final RequestDemand longPrompt =
