Limit responses that never end

Servers in trouble may send bytes that are no response without end. The gateway held a request until its deadline (504 after 3 s in the tests) when interim responses, the body of a rejection or an event never ended. An event and a response to the gateway's own calls grew in memory: 674 MB arrived for one poll of cache events within its 1.8 s. StreamClient read a whole body in spite of its limit and ended in an OutOfMemoryError.

Now the bytes before a response head are limited as the head itself is (32 KiB; the codec limits neither blank lines nor interim responses), an event to 256 KiB, a response to a call of the gateway to 1 MiB (cache events), 8 MiB (peers) or 16 MiB (store), and a rejection may take 100 ms to end. The attempt then fails, and the request goes to another server where its route allows. A plain response without end is relayed until the deadline under backpressure and never completed, as before.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -179,7 +179,13 @@
                             "server " + server + " responded with status " + response.code(),
                             ExecutionStatus.UNKNOWN));
         }
-        response.body().source().request(MAX_RESPONSE_BYTES);
+        if (response.body().source().request(MAX_RESPONSE_BYTES)) {
+            Refusal refusal = Refusal.of(
+                    RefusalType.ANSWER_CUT,
+                    "the response of server " + server + " exceeds " + MAX_RESPONSE_BYTES + " bytes",
+                    ExecutionStatus.RAN);
+            return new AttemptResult.TruncatedResponse(server, refusal);
+        }
         Map<String, String> headers = Map.of(
                 "content-type", response.header("content-type", "application/json"),
                 "x-request-id", response.header("x-request-id", ""),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -19,6 +19,8 @@
 /** One attempt to send a request to a backend server or another instance. */
 final class Attempt implements ResponseListener {
     private static final int MISDIRECTED = 421;
+    /** Time to wait for the end of a rejection, so that its connection can be reused, milliseconds. */
+    private static final long MAX_REJECTION_BODY_MS = 100;
 
     private final GatewayCore core;
     private final RequestExchange exchange;
@@ -92,7 +94,10 @@
         rejection = checkResponse(response);
         if (rejection.isEmpty()) {
             exchange.relay().onHead(response);
+            return;
         }
+        Rejection rejected = rejection.get();
+        core.schedule(() -> endUnfinished(rejected), MAX_REJECTION_BODY_MS);
     }
 
     @Override
@@ -103,6 +108,11 @@
         recordTimeToFirstContent();
         recordContentGap();
         exchange.relay().onContent(content);
+        if (exchange.relay().isEventTooLong()) {
+            recordServerFailure();
+            endUnfinished(new Rejection(ExecutionEvidence.MAY_HAVE_RUN, true, "event exceeds the maximum size"));
+            return;
+        }
         if (!exchange.relay().isWritable()) {
             call.setAutoRead(false);
         }
@@ -204,14 +214,19 @@
     private Optional<Rejection> rejectAndClose(String reason) {
         Rejection rejected = new Rejection(ExecutionEvidence.MAY_HAVE_RUN, true, reason);
         recordServerFailure();
-        core.execute(() -> {
-            if (!finished) {
-                fail(rejected);
-            }
-        });
+        core.execute(() -> endUnfinished(rejected));
         return Optional.of(rejected);
     }
 
+    /** Ends the attempt without waiting for the end of the response. */
+    private void endUnfinished(Rejection rejected) {
+        if (finished) {
+            return;
+        }
+        call.cancel();
+        fail(rejected);
+    }
+
     private void fail(Rejection rejected) {
         finish();
         exchange.relay().discardBuffered();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
@@ -26,6 +26,9 @@
     /** Maximum time to wait for a response that is due, milliseconds. */
     private static final long RESPONSE_TIMEOUT_MS = 800;
 
+    /** Maximum size of a response, bytes. */
+    private static final int MAX_RESPONSE_BYTES = 1_048_576;
+
     private static final int OK = 200;
     private static final HttpClient.SendOptions OPTIONS = new HttpClient.SendOptions(3_000, 300);
 
@@ -79,7 +82,11 @@
                     .set("Host", server.entry().address().toString())
                     .set(KvCacheProtocol.WAIT_MS_HEADER, KvCacheProtocol.MAX_WAIT_MS);
             new ResponseCollector(
-                            core, KvCacheProtocol.MAX_WAIT_MS + RESPONSE_TIMEOUT_MS, this::onResponse, this::onFailure)
+                            core,
+                            KvCacheProtocol.MAX_WAIT_MS + RESPONSE_TIMEOUT_MS,
+                            MAX_RESPONSE_BYTES,
+                            this::onResponse,
+                            this::onFailure)
                     .send(GatewayCore.endpoint(server), request, Unpooled.EMPTY_BUFFER, OPTIONS);
         }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/EventSplitter.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/EventSplitter.java
@@ -9,6 +9,9 @@
  * Splits an event stream at event boundaries, so that only complete events are relayed, and tracks the last event id.
  */
 final class EventSplitter {
+    /** Maximum size of an event, bytes; an event holds a few tokens. */
+    private static final int MAX_EVENT_BYTES = 262_144;
+
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteBufAllocator allocator;
@@ -40,6 +43,11 @@
         return remainder;
     }
 
+    /** Returns whether the bytes after the last complete event exceed the maximum size of an event. */
+    boolean isPartialEventTooLong() {
+        return partialEvent != null && partialEvent.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Discards the bytes after the last complete event. */
     void discardRemainder() {
         if (partialEvent != null) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -45,6 +45,9 @@
     /** Maximum time to wait for a response, milliseconds. */
     private static final long RESPONSE_TIMEOUT_MS = 800;
 
+    /** Maximum size of a response, bytes. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1_048_576;
+
     private static final int OK = 200;
     private static final HttpClient.SendOptions OPTIONS = new HttpClient.SendOptions(10_000, 400);
 
@@ -136,6 +139,7 @@
             new ResponseCollector(
                             core,
                             RESPONSE_TIMEOUT_MS,
+                            MAX_RESPONSE_BYTES,
                             (status, answer) -> onResponse(status, answer, core.nowMs() - sentMs),
                             reason -> core.peers().markUnreachable(target, core.nowMs()))
                     .send(new Endpoint("peer", target), request, Unpooled.wrappedBuffer(body), OPTIONS);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseCollector.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseCollector.java
@@ -14,12 +14,13 @@
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.daemon.http.ResponseListener;
 
-/** Collects a small response in memory, within a time limit. */
+/** Collects a small response in memory, within a limit of time and size. */
 final class ResponseCollector implements ResponseListener {
     private final GatewayCore core;
     private final BiConsumer<Integer, byte[]> onResponse;
     private final Consumer<String> onFailure;
     private final long timeoutMs;
+    private final int maxBytes;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpClient.Call call;
     private Future<?> timer;
@@ -27,9 +28,14 @@
     private boolean finished;
 
     ResponseCollector(
-            GatewayCore core, long timeoutMs, BiConsumer<Integer, byte[]> onResponse, Consumer<String> onFailure) {
+            GatewayCore core,
+            long timeoutMs,
+            int maxBytes,
+            BiConsumer<Integer, byte[]> onResponse,
+            Consumer<String> onFailure) {
         this.core = core;
         this.timeoutMs = timeoutMs;
+        this.maxBytes = maxBytes;
         this.onResponse = onResponse;
         this.onFailure = onFailure;
     }
@@ -46,6 +52,10 @@
 
     @Override
     public void onContent(ByteBuf content) {
+        if (body.size() + content.readableBytes() > maxBytes) {
+            end("response exceeds " + maxBytes + " bytes");
+            return;
+        }
         try {
             content.getBytes(content.readerIndex(), body, content.readableBytes());
         } catch (IOException e) {
@@ -68,9 +78,13 @@
     }
 
     private void expire() {
+        end("no response within " + timeoutMs + " ms");
+    }
+
+    private void end(String reason) {
         if (finish()) {
             call.cancel();
-            onFailure.accept("no response within " + timeoutMs + " ms");
+            onFailure.accept(reason);
         }
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
@@ -66,6 +66,11 @@
         responseWriter.sendContent(completeEvents);
     }
 
+    /** Whether the current event of the stream is longer than a complete event may be. */
+    boolean isEventTooLong() {
+        return events.isPartialEventTooLong();
+    }
+
     boolean isWritable() {
         return responseWriter.isWritable();
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -31,6 +31,9 @@
     /** Maximum idle time of a reused connection and timeout for opening one, milliseconds. */
     private static final HttpClient.SendOptions OPTIONS = new HttpClient.SendOptions(5_000, 500);
 
+    /** Maximum size of a response, bytes; several times the size of a page of the store. */
+    private static final int MAX_RESPONSE_BYTES = 16 * 1_048_576;
+
     private static final int OK = 200;
 
     private final GatewayCore core;
@@ -122,7 +125,7 @@
     private void call(String target, long timeoutMs, BiConsumer<Integer, byte[]> onResponse) {
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target);
         request.headers().set("Host", store.address().toString());
-        new ResponseCollector(core, timeoutMs, onResponse, this::onFailure)
+        new ResponseCollector(core, timeoutMs, MAX_RESPONSE_BYTES, onResponse, this::onFailure)
                 .send(store, request, Unpooled.EMPTY_BUFFER, OPTIONS);
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -32,6 +32,7 @@
     private HttpClient.Call call;
     private boolean reused;
     private boolean headReceived;
+    private long bytesBeforeHead;
     private boolean keepAlive;
     private boolean closing;
     private long idleSinceMs;
@@ -57,6 +58,7 @@
         call = newCall;
         reused = pooled;
         headReceived = false;
+        bytesBeforeHead = 0;
         call.attachChannel(channel);
         if (!channel.isActive()) {
             failCall("connection closed before the request was sent");
@@ -101,6 +103,22 @@
         context.close();
     }
 
+    /** Returns the handler in front of the codec, which does not limit blank lines and interim responses. */
+    ChannelInboundHandlerAdapter newHeadLimiter() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (!headReceived && bytesBeforeHead > HttpClient.MAX_HEAD_BYTES) {
+                    ReferenceCountUtil.release(bytes);
+                    abort("no response head within " + HttpClient.MAX_HEAD_BYTES + " bytes");
+                    return;
+                }
+                bytesBeforeHead += headReceived ? 0 : ((ByteBuf) bytes).readableBytes();
+                context.fireChannelRead(bytes);
+            }
+        };
+    }
+
     private void handle(HttpObject message) {
         if (closing) {
             return;
@@ -153,6 +171,8 @@
     private void completeCall() {
         HttpClient.Call completed = call;
         call = null;
+        headReceived = false;
+        bytesBeforeHead = 0;
         idleSinceMs = clock.nowMs();
         if (keepAlive && channel.isActive()) {
             channel.config().setAutoRead(true);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
@@ -23,7 +23,7 @@
 /** An HTTP client with a pool of idle connections. All methods must be called on the event loop. */
 public final class HttpClient {
     /** Maximum size of the response headers, in bytes; twice the size allowed for request headers of callers. */
-    private static final int MAX_HEAD_BYTES = 32_768;
+    static final int MAX_HEAD_BYTES = 32_768;
 
     private static final int MAX_INITIAL_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -84,7 +84,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(newCodec(), connection);
+                        channel.pipeline().addLast(connection.newHeadLimiter(), newCodec(), connection);
                     }
                 })
                 .connect(new InetSocketAddress(
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -13,6 +13,7 @@
 import java.util.Queue;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.ibissaddle.id.Address;
 
@@ -25,6 +26,9 @@
     private final String id;
     private final Queue<Map<String, String>> arrivals = new ConcurrentLinkedQueue<>();
     private volatile Function<Map<String, String>, String> responder;
+    private final AtomicLong endlessBytes = new AtomicLong();
+    private final AtomicLong endlessResponses = new AtomicLong();
+    private volatile String endlessTail = "";
 
     FakeBackendServer(String id) throws IOException {
         this.id = id;
@@ -43,6 +47,22 @@
         responder = next;
     }
 
+    /** Sends the start of a response, then repeats the tail until the client closes the connection. */
+    void respondWithoutEnd(Function<Map<String, String>, String> start, String tail) {
+        responder = start;
+        endlessTail = tail;
+    }
+
+    /** Returns the number of responses without end whose connection the client has closed. */
+    long closedEndlessResponses() {
+        return endlessResponses.get();
+    }
+
+    /** Returns the number of bytes sent in responses without end. */
+    long endlessBytes() {
+        return endlessBytes.get();
+    }
+
     Queue<Map<String, String>> arrivals() {
         return arrivals;
     }
@@ -82,12 +102,27 @@
                     return;
                 }
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                if (!endlessTail.isEmpty() && !request.get("path").equals("/healthz")) {
+                    sendWithoutEnd(socket);
+                }
             }
         } catch (IOException e) {
             // Expected: the gateway closes connections that it no longer uses.
         }
     }
 
+    private void sendWithoutEnd(Socket socket) throws IOException {
+        byte[] tail = endlessTail.getBytes(StandardCharsets.ISO_8859_1);
+        try {
+            while (true) {
+                socket.getOutputStream().write(tail);
+                endlessBytes.addAndGet(tail.length);
+            }
+        } finally {
+            endlessResponses.incrementAndGet();
+        }
+    }
+
     private String record(Map<String, String> request) {
         arrivals.add(request);
         return responder.apply(request);
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -274,6 +274,79 @@
         }
     }
 
+    /** Guards against responses without end, which once held a request until its deadline or filled the memory. */
+    @Nested
+    class ResponsesWithoutEnd {
+        private static final String OK = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n";
+
+        private static final String ENGINE_CONFIGURATION = """
+                {"version":2,"routes":[],"services":[{"name":"ledger","healthPath":"/healthz","engine":{}}],
+                 "limits":{}}""";
+        /** Limit of a response, 1 MiB, and what the socket buffers of both ends may hold. */
+        private static final long MAX_SENT_BYTES = 32 * 1_048_576;
+
+        private void shouldUseTheOtherServer(String path, String start, String tail) throws IOException {
+            addSecondServer();
+            first.respondWithoutEnd(request -> start.formatted(request.get("x-attempt-id")), tail);
+            second.respondWith(request -> FakeBackendServer.response(
+                    request, "200 OK", "X-Server-Seal: s\r\nContent-Type: text/event-stream\r\n", "id: 1\n\n"));
+
+            assertThat(call("GET", path, "", "")).startsWith("HTTP/1.1 200").contains("id: 1\n\n");
+            assertThat(first.arrivals()).hasSize(1);
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenAHeaderNeverEnds() throws IOException {
+            shouldUseTheOtherServer("/any/7", OK + "X-Filler: ", "x".repeat(1_000));
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenHeadersNeverEnd() throws IOException {
+            shouldUseTheOtherServer("/any/7", OK, "X-Filler: x\r\n");
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenInterimResponsesNeverEnd() throws IOException {
+            String interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+            shouldUseTheOtherServer("/any/7", interim, interim);
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenBlankLinesNeverEnd() throws IOException {
+            shouldUseTheOtherServer("/any/7", "\r\n", "\r\n");
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenTheBodyOfARejectionNeverEnds() throws IOException {
+            String head = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n\r\n";
+            shouldUseTheOtherServer("/any/7", head, "x".repeat(1_000));
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenAnEventNeverEnds() throws IOException {
+            shouldUseTheOtherServer("/resumed/7", OK + "\r\ndata: ", "x".repeat(1_000));
+        }
+
+        @Test
+        void shouldLimitTheSizeOfAResponseToTheGatewayItself() {
+            first.respondWithoutEnd(request -> "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(65_536));
+            platform.put("op/config", ENGINE_CONFIGURATION);
+            while (first.closedEndlessResponses() == 0) {
+                Thread.onSpinWait();
+            }
+
+            assertThat(first.endlessBytes()).isLessThan(MAX_SENT_BYTES);
+        }
+
+        @Test
+        void shouldNotCompleteAPlainResponseThatNeverEnds() throws IOException {
+            String head = OK + "Transfer-Encoding: chunked\r\n\r\n";
+            first.respondWithoutEnd(request -> head.formatted(request.get("x-attempt-id")), "1\r\nx\r\n");
+
+            assertThat(call("GET", "/any/7", "X-Deadline-Ms: 300\r\n", "")).doesNotContain("0\r\n\r\n");
+        }
+    }
+
     /** Guards against refusing requests that arrive while all processes start and no configuration is known yet. */
     @Nested
     class Start {
