Test that a prediction doesn't change the limit of a cold server

With the prediction in the loop, the old code sent 20 requests in a second from 4 instances, 60 from 12 and 630 from 126, where 11 are allowed; it passes now.

--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
@@ -143,10 +143,14 @@
             backends.apply(new CatalogEvent.ServerPublished(entry), nowMs);
         }
 
-        /** Sends a request if the limit of this instance allows it, and returns whether it did. */
+        /**
+         * Sends a request if the limit of this instance allows it, and returns whether it did. The prediction for the
+         * other instances must not change the limit.
+         */
         boolean send(long nowMs) {
-            ServerSelectionResult result = backends.selectServer(
-                    ENGINES, RequestDemand.PLAIN, Set.of(), server -> peers.coldRateShare(NORTH, server, nowMs), nowMs);
+            ColdRateShare share = server -> peers.coldRateShare(NORTH, server, nowMs);
+            backends.predictedResponseMs(ENGINES, share, nowMs);
+            ServerSelectionResult result = backends.selectServer(ENGINES, RequestDemand.PLAIN, Set.of(), share, nowMs);
             if (!(result instanceof ServerSelectionResult.Selected selected)) {
                 return false;
             }
