--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -327,6 +327,28 @@
             shouldUseTheOtherServer("/resumed/7", OK + "\r\ndata: ", "x".repeat(1_000));
         }
 
+        @Test
+        void shouldUseAnotherServerWhenTheSizeOfAChunkNeverEnds() throws IOException {
+            shouldUseTheOtherServer("/any/7", OK + "Transfer-Encoding: chunked\r\n\r\n", "f");
+        }
+
+        @Test
+        void shouldUseAnotherServerWhenTrailersNeverEnd() throws IOException {
+            shouldUseTheOtherServer(
+                    "/any/7", OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", "X-Filler: x\r\n");
+        }
+
+        @Test
+        void shouldCloseTheConnectionWhenBytesAfterAResponseNeverEnd() throws IOException {
+            first.respondWithoutEnd(
+                    request -> FakeBackendServer.response(request, "200 OK", "X-Server-Seal: s\r\n", "hello"), "\r\n");
+
+            assertThat(call("GET", "/any/7", "", "")).startsWith("HTTP/1.1 200").endsWith("hello");
+            while (first.closedEndlessResponses() == 0) {
+                Thread.onSpinWait();
+            }
+        }
+
         @Test
         void shouldLimitTheSizeOfAResponseToTheGatewayItself() {
             first.respondWithoutEnd(request -> "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(65_536));
