Rank the senders to a cold server with RendezvousHash

PeerTable had a rendezvous hash and a second loop over the instances of a region of its own. Both exist: RendezvousHash.rank, which membership and orders use, and instancesInRegion, which now share one list. Other instances than before may be chosen; their number and shares are the same.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -14,7 +14,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
-import org.ibissaddle.route.HashMixer;
+import org.ibissaddle.internal.membership.RendezvousHash;
 
 /** Table of the other instances of the deployment. Not thread-safe; confined to one thread. */
 public final class PeerTable {
@@ -168,13 +168,7 @@
      * @return number of instances: the local one and all known ones of the region
      */
     public int instancesInRegion(Region region) {
-        int count = 1;
-        for (PeerEntry entry : known.values()) {
-            if (entry.state.region().equals(region)) {
-                count++;
-            }
-        }
-        return count;
+        return othersInRegion(region).size() + 1;
     }
 
     /**
@@ -191,20 +185,19 @@
         if (nowMs < discoveredAtMs) {
             return 0;
         }
-        long ownHash = rendezvousHash(self, server);
-        int instances = 1;
-        int higher = 0;
+        List<InstanceId> others = othersInRegion(region);
+        int senders = Math.min(SENDERS_PER_COLD_SERVER, others.size() + 1);
+        return RendezvousHash.rank(server.name(), self, others) < senders ? 1.0 / senders : 0;
+    }
+
+    private List<InstanceId> othersInRegion(Region region) {
+        List<InstanceId> others = new ArrayList<>();
         for (PeerEntry entry : known.values()) {
             if (entry.state.region().equals(region)) {
-                instances++;
-                higher += rendezvousHash(entry.state.id(), server) > ownHash ? 1 : 0;
+                others.add(entry.state.id());
             }
         }
-        return higher < SENDERS_PER_COLD_SERVER ? 1.0 / Math.min(SENDERS_PER_COLD_SERVER, instances) : 0;
-    }
-
-    private static long rendezvousHash(InstanceId instance, ServerId server) {
-        return HashMixer.mix(server.name().hashCode() * 31L + instance.name().hashCode());
+        return others;
     }
 
     /**
