Use no portion of the retry slack while other instances are unknown

An instance that had just started, or was cut off from the others since, divided the slack of the retry budget by four, whatever the size of the deployment.

deploymentSize is now empty until an instance knows others (3 s after its start, and at least one other unless it has no seeds), and the budget grants only its share of the own requests meanwhile.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/SharedRetryBudget.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/SharedRetryBudget.java
@@ -1,16 +1,18 @@
 package org.ibissaddle.dispatch;
 
+import java.util.OptionalInt;
+
 /**
  * The portion of a deployment-wide retry budget that one instance may use without coordination: a fraction of its own
- * requests, plus its portion of the slack. The portions add up to less than the total regardless of what the instances
- * know of each other, as long as no instance underestimates the number of instances by more than half. Not thread-safe.
+ * requests, plus its portion of the slack. The portions add up to less than the total as long as no instance that knows
+ * the number of instances underestimates it by more than half. Not thread-safe.
  */
 public final class SharedRetryBudget {
     /** Fraction of the configured ratio that is used; the rest covers windows in which the request rate falls. */
     private static final double RATIO_SHARE = 0.5;
     /** Fraction of the slack that all instances use together if each knows the number of instances. */
     private static final double SLACK_SHARE = 0.5;
-    /** Minimum number of instances to divide the slack by; limits a new instance that does not know the others yet. */
+    /** Minimum number of instances to divide the slack by. */
     private static final int MIN_INSTANCES = 4;
 
     private final double ratio;
@@ -37,20 +39,20 @@
     /**
      * Records the first attempt of a request.
      *
-     * @param instances number of known instances of the deployment
+     * @param instances number of instances of the deployment, empty if unknown
      */
-    public void recordRequest(int instances) {
+    public void recordRequest(OptionalInt instances) {
         tokens = Math.min(capacity(instances), tokens + ratio);
     }
 
     /**
      * Takes a token for one retry.
      *
-     * @param instances number of known instances of the deployment
+     * @param instances number of instances of the deployment, empty if unknown
      * @param nowMs current time, milliseconds
      * @return whether a token was available
      */
-    public boolean tryAcquire(int instances, long nowMs) {
+    public boolean tryAcquire(OptionalInt instances, long nowMs) {
         if (!canAcquire(instances, nowMs)) {
             return false;
         }
@@ -61,18 +63,22 @@
     /**
      * Returns whether a retry is currently allowed, without taking a token.
      *
-     * @param instances number of known instances of the deployment
+     * @param instances number of instances of the deployment, empty if unknown
      * @param nowMs current time, milliseconds
      * @return whether a token is available
      */
-    public boolean canAcquire(int instances, long nowMs) {
-        double refill = slack / Math.max(MIN_INSTANCES, instances);
-        tokens = Math.min(capacity(instances), tokens + refill * (nowMs - refilledAtMs) / windowMs);
+    public boolean canAcquire(OptionalInt instances, long nowMs) {
+        tokens = Math.min(capacity(instances), tokens + slackPortion(instances) * (nowMs - refilledAtMs) / windowMs);
         refilledAtMs = nowMs;
         return tokens >= 1;
     }
 
-    private double capacity(int instances) {
-        return Math.max(1, slack / Math.max(MIN_INSTANCES, instances));
+    private double capacity(OptionalInt instances) {
+        return Math.max(1, slackPortion(instances));
+    }
+
+    /** Returns the portion of the slack that this instance may use, none while the number of instances is unknown. */
+    private double slackPortion(OptionalInt instances) {
+        return instances.isEmpty() ? 0 : slack / Math.max(MIN_INSTANCES, instances.getAsInt());
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.id.Address;
@@ -41,6 +42,7 @@
     private static final double ROUND_TRIP_SMOOTHING_FACTOR = 0.2;
 
     private final InstanceId self;
+    private final boolean expectsOthers;
     private final long discoveredAtMs;
     private final Map<InstanceId, PeerEntry> known = new HashMap<>();
     private final Map<Region, Double> roundTripsMs = new HashMap<>();
@@ -49,10 +51,12 @@
      * Creates an empty table.
      *
      * @param self the local instance, which is never added to the table
+     * @param expectsOthers whether the deployment has other instances
      * @param nowMs current time, milliseconds
      */
-    public PeerTable(InstanceId self, long nowMs) {
+    public PeerTable(InstanceId self, boolean expectsOthers, long nowMs) {
         this.self = self;
+        this.expectsOthers = expectsOthers;
         this.discoveredAtMs = nowMs + DISCOVERY_MS;
     }
 
@@ -155,10 +159,16 @@
     /**
      * Returns the size of the deployment, including instances that are down but have not expired.
      *
-     * @return number of instances, including the local one
+     * @param nowMs current time, milliseconds
+     * @return number of instances, including the local one; empty while the local instance may not know all others
      */
-    public int deploymentSize() {
-        return known.size() + 1;
+    public OptionalInt deploymentSize(long nowMs) {
+        return isDiscovering(nowMs) ? OptionalInt.empty() : OptionalInt.of(known.size() + 1);
+    }
+
+    /** Whether the table may lack instances, because the process has just started or is cut off since its start. */
+    private boolean isDiscovering(long nowMs) {
+        return nowMs < discoveredAtMs || (expectsOthers && known.isEmpty());
     }
 
     /**
@@ -182,7 +192,7 @@
      * @return fraction of the rate; 0 while the local instance may not know all others yet
      */
     public double coldRateShare(Region region, ServerId server, long nowMs) {
-        if (nowMs < discoveredAtMs) {
+        if (isDiscovering(nowMs)) {
             return 0;
         }
         List<InstanceId> others = othersInRegion(region);
--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
@@ -46,7 +46,7 @@
     void shouldLimitTheRequestsToAColdServerForAnyNumberOfInstances(int count) {
         List<Instance> instances = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            instances.add(new Instance(i, 0));
+            instances.add(new Instance(i, count > 1, 0));
         }
 
         List<Long> arrivals = sendAsMuchAsAllowed(instances, START_MS, START_MS);
@@ -59,7 +59,7 @@
     void shouldLimitTheRequestsToAColdServerAfterAllInstancesRestart() {
         List<Instance> instances = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
-            instances.add(new Instance(i, START_MS));
+            instances.add(new Instance(i, true, START_MS));
         }
 
         List<Long> arrivals = sendAsMuchAsAllowed(instances, START_MS, START_MS + 2_000);
@@ -67,6 +67,19 @@
         assertThat(maxPerWindow(arrivals)).isBetween(1, MAX_ARRIVALS);
     }
 
+    // An instance that was cut off from all others when it started took the whole limit.
+    @Test
+    void shouldLimitTheRequestsToAColdServerWhileInstancesAreCutOffSinceTheirStart() {
+        List<Instance> instances = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            instances.add(new Instance(i, true, 0));
+        }
+
+        List<Long> arrivals = sendAsMuchAsAllowed(instances, START_MS, Long.MAX_VALUE);
+
+        assertThat(maxPerWindow(arrivals)).isLessThanOrEqualTo(MAX_ARRIVALS);
+    }
+
     /** Publishes a cold server and returns the times at which it receives requests. */
     private static List<Long> sendAsMuchAsAllowed(List<Instance> instances, long startMs, long peersKnownMs) {
         instances.forEach(instance -> instance.publishColdServer(startMs));
@@ -101,9 +114,9 @@
         private final PeerTable peers;
         private final BackendRegistry backends = new BackendRegistry(NORTH, Map.of(ZONE, NORTH));
 
-        Instance(int number, long startedMs) {
+        Instance(int number, boolean expectsOthers, long startedMs) {
             id = new InstanceId("north-" + number);
-            peers = new PeerTable(id, startedMs);
+            peers = new PeerTable(id, expectsOthers, startedMs);
             ServiceSpec engines = new ServiceSpec(
                     ENGINES,
                     "/health",
--- a/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/AttemptPolicyTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/AttemptPolicyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.OptionalInt;
 import org.ibissaddle.dispatch.AttemptPolicy.AttemptProgress;
 import org.ibissaddle.dispatch.AttemptPolicy.ExecutionEvidence;
 import org.ibissaddle.dispatch.AttemptPolicy.RetryDecision;
@@ -49,7 +50,7 @@
         void shouldStayWithinDeploymentSlackWithoutCoordination() {
             double slack = 56;
             long windowMs = 10_000;
-            int instances = 4;
+            OptionalInt instances = OptionalInt.of(4);
             SharedRetryBudget budget = new SharedRetryBudget(0.2, slack, windowMs, 0);
             int grantedRetries = 0;
             for (long nowMs = 0; nowMs < 3 * windowMs; nowMs += 10) {
@@ -58,7 +59,7 @@
                     grantedRetries += counted ? 1 : 0;
                 }
             }
-            assertThat(grantedRetries * instances).isLessThanOrEqualTo((int) slack);
+            assertThat(grantedRetries * instances.getAsInt()).isLessThanOrEqualTo((int) slack);
         }
     }
 }
--- /dev/null
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
@@ -0,0 +1,91 @@
+package org.ibissaddle.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.peer.PeerState;
+import org.ibissaddle.peer.PeerTable;
+import org.ibissaddle.peer.RelayedState;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Many instances that share the retry budget of one service. */
+class SharedRetryBudgetTest {
+    private static final double RATIO = 0.2;
+    private static final double SLACK = 210;
+    private static final long WINDOW_MS = 10_000;
+    private static final int INSTANCES = 35;
+    private static final long DURATION_MS = 2 * WINDOW_MS;
+    private static final long STEP_MS = 10;
+
+    // Each instance that had just started took a quarter of the slack, because it knew too few others.
+    @ParameterizedTest
+    @CsvSource({"0, 500", "0, 50", "1000, 500", "1000, 50", "2900, 500", "2900, 50", "30000, 500", "30000, 50"})
+    void shouldStayWithinTheBudgetAfterAllInstancesRestart(long peersKnownMs, long requestIntervalMs) {
+        List<Instance> instances = new ArrayList<>();
+        for (int i = 0; i < INSTANCES; i++) {
+            instances.add(new Instance(i));
+        }
+        int requests = 0;
+        int retries = 0;
+        for (long nowMs = 0; nowMs < DURATION_MS; nowMs += STEP_MS) {
+            if (nowMs == peersKnownMs) {
+                instances.forEach(instance -> instance.learn(instances));
+            }
+            if (nowMs < WINDOW_MS && nowMs % requestIntervalMs == 0) {
+                for (Instance instance : instances) {
+                    requests++;
+                    retries += instance.failAndRetry(nowMs) ? 1 : 0;
+                }
+            }
+        }
+
+        assertThat(retries).isBetween(1, (int) (RATIO * requests + SLACK));
+    }
+
+    private static final class Instance {
+        private final InstanceId id;
+        private final PeerTable peers;
+        private final SharedRetryBudget budget = new SharedRetryBudget(RATIO, SLACK, WINDOW_MS, 0);
+
+        Instance(int number) {
+            id = new InstanceId("north-" + number);
+            peers = new PeerTable(id, true, 0);
+        }
+
+        void learn(List<Instance> others) {
+            Address address = new Address("10.0.0.1", 1_000);
+            for (Instance other : others) {
+                peers.update(
+                        new RelayedState(
+                                new PeerState(
+                                        other.id,
+                                        1,
+                                        1,
+                                        new Region("north"),
+                                        new Zone("north-a"),
+                                        address,
+                                        address,
+                                        true,
+                                        false,
+                                        1,
+                                        true,
+                                        Map.of()),
+                                0),
+                        0);
+            }
+        }
+
+        /** Records a request whose first attempt fails, and returns whether it is retried. */
+        boolean failAndRetry(long nowMs) {
+            budget.recordRequest(peers.deploymentSize(nowMs));
+            return budget.tryAcquire(peers.deploymentSize(nowMs), nowMs);
+        }
+    }
+}
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
@@ -71,7 +71,7 @@
 
     @Nested
     class Liveness {
-        private final PeerTable peers = new PeerTable(new InstanceId("self"), 0);
+        private final PeerTable peers = new PeerTable(new InstanceId("self"), true, 0);
 
         @Test
         void shouldExcludeAnInstanceWhoseStateIsStale() {
@@ -79,7 +79,7 @@
 
             assertThat(peers.alive(PeerTable.STALE_STATE_MS)).hasSize(1);
             assertThat(peers.alive(PeerTable.STALE_STATE_MS + 1)).isEmpty();
-            assertThat(peers.deploymentSize()).isEqualTo(2);
+            assertThat(peers.deploymentSize(PeerTable.STALE_STATE_MS + 1)).hasValue(2);
         }
 
         @Test
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -108,7 +108,7 @@
         relay = new ResponseRelay(core, responseWriter, route.kind() == RequestKind.STREAMING, lastEventId());
         deadlineTimer = core.schedule(this::onDeadline, deadlineMs + DEADLINE_GRACE_MS - core.nowMs());
         core.countRequest(route);
-        core.retryBudget(service).recordRequest(core.peers().deploymentSize());
+        core.retryBudget(service).recordRequest(core.peers().deploymentSize(core.nowMs()));
         place();
     }
 
@@ -327,7 +327,7 @@
     boolean canRetry(AttemptPolicy.ExecutionEvidence evidence) {
         return next(evidence, possibleRuns + 1) == AttemptPolicy.RetryDecision.RETRY
                 && core.nowMs() < deadlineMs
-                && core.retryBudget(service).canAcquire(core.peers().deploymentSize(), core.nowMs());
+                && core.retryBudget(service).canAcquire(core.peers().deploymentSize(core.nowMs()), core.nowMs());
     }
 
     /** Called when an attempt has failed before its response was relayed in full. */
@@ -344,7 +344,8 @@
         boolean allowed = next == AttemptPolicy.RetryDecision.RETRY
                 && timeLeft
                 && (!countsAsRetry
-                        || core.retryBudget(service).tryAcquire(core.peers().deploymentSize(), core.nowMs()));
+                        || core.retryBudget(service)
+                                .tryAcquire(core.peers().deploymentSize(core.nowMs()), core.nowMs()));
         mayHaveRun |= evidence == AttemptPolicy.ExecutionEvidence.MAY_HAVE_RUN;
         core.log()
                 .notice(
