Limit events and control responses without end on the own interface

The check of the size of a response, which StreamClient had copied from ServiceClient, is one piece now.

The heads and ServiceClient held already: OkHttp limits heads to 256 KiB in all.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
@@ -134,12 +134,9 @@
         if (ExecutionStatus.NOT_RUN.wireName().equals(response.header(RAN_HEADER))) {
             return new AttemptResult.ReportedNotRun(server, ServerRefusalParser.parse(server, response));
         }
-        if (response.body().source().request(MAX_RESPONSE_BYTES)) {
-            Refusal refusal = Refusal.of(
-                    RefusalType.ANSWER_CUT,
-                    "the response of server " + server + " exceeds " + MAX_RESPONSE_BYTES + " bytes",
-                    ExecutionStatus.RAN);
-            return new AttemptResult.TruncatedResponse(server, refusal);
+        Optional<AttemptResult> tooLong = ResponseSizeCheck.check(server, response, MAX_RESPONSE_BYTES);
+        if (tooLong.isPresent()) {
+            return tooLong.get();
         }
         Map<String, String> headers = new LinkedHashMap<>();
         for (String name : RELAYED_HEADERS) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -5,6 +5,7 @@
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import javax.net.SocketFactory;
@@ -18,6 +19,9 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okhttp3.ResponseBody;
+import okio.Okio;
+import okio.Source;
 import org.ibissaddle.dispatch.Answer;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.id.Address;
@@ -125,8 +129,7 @@
         started.accept(call);
         try {
             Response response = call.execute();
-            String type = response.header("content-type", "");
-            if (response.code() == 200 && type.startsWith("text/event-stream")) {
+            if (response.code() == 200 && isEventStream(response)) {
                 return new StartResult.Streaming(response);
             }
             try (response) {
@@ -179,12 +182,9 @@
                             "server " + server + " responded with status " + response.code(),
                             ExecutionStatus.UNKNOWN));
         }
-        if (response.body().source().request(MAX_RESPONSE_BYTES)) {
-            Refusal refusal = Refusal.of(
-                    RefusalType.ANSWER_CUT,
-                    "the response of server " + server + " exceeds " + MAX_RESPONSE_BYTES + " bytes",
-                    ExecutionStatus.RAN);
-            return new AttemptResult.TruncatedResponse(server, refusal);
+        Optional<AttemptResult> tooLong = ResponseSizeCheck.check(server, response, MAX_RESPONSE_BYTES);
+        if (tooLong.isPresent()) {
+            return tooLong.get();
         }
         Map<String, String> headers = Map.of(
                 "content-type", response.header("content-type", "application/json"),
@@ -289,10 +289,20 @@
             throw new IOException("the request has already been written once");
         }
         state.started = true;
-        return chain.proceed(chain.request())
-                .newBuilder()
-                .removeHeader("Retry-After")
-                .build();
+        Response response = chain.proceed(chain.request());
+        Response.Builder relayed = response.newBuilder().removeHeader("Retry-After");
+        if (isEventStream(response)) {
+            Source events = new EventSizeLimiter(response.body().source());
+            relayed.body(ResponseBody.create(
+                    Okio.buffer(events),
+                    response.body().contentType(),
+                    response.body().contentLength()));
+        }
+        return relayed.build();
+    }
+
+    private static boolean isEventStream(Response response) {
+        return response.header("content-type", "").startsWith("text/event-stream");
     }
 
     @Override
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlHttpClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlHttpClient.java
@@ -19,6 +19,8 @@
     private static final MediaType JSON = MediaType.get("application/json");
     private static final int MAX_IDLE_CONNECTIONS = 64;
     private static final long IDLE_TIMEOUT_MS = 15_000;
+    /** Maximum size of a response, bytes; several times the size of a large release note. */
+    private static final long MAX_RESPONSE_BYTES = 16L * 1024 * 1024;
 
     private final OkHttpClient http;
 
@@ -87,6 +89,9 @@
         var call = http.newCall(request);
         call.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS);
         try (Response response = call.execute()) {
+            if (response.body().source().request(MAX_RESPONSE_BYTES)) {
+                throw new IOException("the response of " + request.url() + " exceeds " + MAX_RESPONSE_BYTES + " bytes");
+            }
             return new ControlResponse(
                     response.code(),
                     Optional.ofNullable(response.header(header)),
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
@@ -3,32 +3,62 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import javax.net.SocketFactory;
+import okhttp3.Response;
+import okhttp3.sse.EventSource;
+import okhttp3.sse.EventSourceListener;
+import okhttp3.sse.EventSources;
 import org.ibissaddle.dispatch.AttemptResult;
-import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
+/** Guards against responses without end, which once filled the memory. */
 class StreamClientTest {
+    private static final ServerId SERVER = new ServerId("endless");
     private static final long TIMEOUT_MS = 60_000;
 
-    // The whole body was read into memory despite its limit.
+    private final StreamClient client = new StreamClient(SocketFactory.getDefault());
+
+    @AfterEach
+    void closeClient() {
+        client.close();
+    }
+
+    private StreamClient.StartResult start(EndlessServer server) {
+        return client.start(
+                SERVER,
+                StreamClient.postRequest(server.address(), "/v1/completions", Map.of(), new byte[0]),
+                call -> {});
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK\r\nX-Filler: ', 'x'",
+        "'HTTP/1.1 200 OK\r\n', 'X-Filler: x\r\n'",
+        "'', 'HTTP/1.1 103 Early Hints\r\n\r\n'",
+        "'', '\r\n'"
+    })
+    void shouldFailWhenAResponseHeadNeverEnds(String head, String tail) throws IOException {
+        try (EndlessServer server = new EndlessServer(unescape(head), unescape(tail))) {
+            assertThat(start(server))
+                    .isInstanceOfSatisfying(
+                            StreamClient.StartResult.Failed.class,
+                            failed -> assertThat(failed.evidence()).isInstanceOf(AttemptResult.LostAfterWrite.class));
+        }
+    }
+
     @Test
     void shouldNotReadAResponseBodyThatNeverEnds() throws IOException {
-        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                StreamClient client = new StreamClient(SocketFactory.getDefault())) {
-            Thread.ofVirtual().start(() -> sendWithoutEnd(listener));
-            Address address = new Address("127.0.0.1", listener.getLocalPort());
-
+        try (EndlessServer server = new EndlessServer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x")) {
             StreamClient.StartResult.Failed result = client.fetch(
-                    new ServerId("endless"),
-                    StreamClient.postRequest(address, "/v1/completions", Map.of(), new byte[0]),
+                    SERVER,
+                    StreamClient.postRequest(server.address(), "/v1/completions", Map.of(), new byte[0]),
                     TIMEOUT_MS,
                     call -> {});
 
@@ -38,16 +68,33 @@
         }
     }
 
-    private static void sendWithoutEnd(ServerSocket listener) {
-        byte[] filler = new byte[65_536];
-        try (Socket socket = listener.accept();
-                OutputStream out = socket.getOutputStream()) {
-            out.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-            while (!socket.isClosed()) {
-                out.write(filler);
-            }
-        } catch (IOException e) {
-            // Expected: the client closes the connection.
+    @Test
+    void shouldFailAStreamWhoseEventNeverEnds() throws IOException {
+        String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\ndata: ";
+        try (EndlessServer server = new EndlessServer(head, "x");
+                Response response = ((StreamClient.StartResult.Streaming) start(server)).response()) {
+            List<String> events = new ArrayList<>();
+            List<Throwable> failures = new ArrayList<>();
+            EventSources.processResponse(response, new EventSourceListener() {
+                @Override
+                public void onEvent(EventSource source, String id, String type, String data) {
+                    events.add(data);
+                }
+
+                @Override
+                public void onFailure(EventSource source, Throwable cause, Response failed) {
+                    failures.add(cause);
+                }
+            });
+
+            assertThat(events).containsExactly("a");
+            assertThat(failures)
+                    .singleElement()
+                    .satisfies(cause -> assertThat(cause).hasMessageContaining("exceeds"));
         }
     }
+
+    private static String unescape(String text) {
+        return text.replace("\\r", "\r").replace("\\n", "\n");
+    }
 }
