--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/ColdServerLimitTest.java
@@ -15,9 +15,8 @@
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
-import org.ibissaddle.peer.PeerState;
+import org.ibissaddle.peer.KnownPeers;
 import org.ibissaddle.peer.PeerTable;
-import org.ibissaddle.peer.RelayedState;
 import org.ibissaddle.route.CallerLimits;
 import org.ibissaddle.route.Configuration;
 import org.ibissaddle.route.EngineSpec;
@@ -131,15 +130,7 @@
         }
 
         void learn(List<Instance> others) {
-            for (Instance other : others) {
-                Address address = new Address("10.0.0.1", 1_000);
-                peers.update(
-                        new RelayedState(
-                                new PeerState(
-                                        other.id, 1, 1, NORTH, ZONE, address, address, true, false, 1, true, Map.of()),
-                                0),
-                        START_MS);
-            }
+            others.forEach(other -> KnownPeers.add(peers, other.id, NORTH, ZONE, START_MS));
         }
 
         void publishColdServer(long nowMs) {
--- a/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
@@ -4,19 +4,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
-import org.ibissaddle.peer.PeerState;
+import org.ibissaddle.peer.KnownPeers;
 import org.ibissaddle.peer.PeerTable;
-import org.ibissaddle.peer.RelayedState;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Many instances that share the retry budget of one service. */
 class SharedRetryBudgetTest {
+    private static final Region NORTH = new Region("north");
+    private static final Zone ZONE = new Zone("north-a");
     private static final double RATIO = 0.2;
     private static final double SLACK = 210;
     private static final long WINDOW_MS = 10_000;
@@ -60,26 +59,7 @@
         }
 
         void learn(List<Instance> others) {
-            Address address = new Address("10.0.0.1", 1_000);
-            for (Instance other : others) {
-                peers.update(
-                        new RelayedState(
-                                new PeerState(
-                                        other.id,
-                                        1,
-                                        1,
-                                        new Region("north"),
-                                        new Zone("north-a"),
-                                        address,
-                                        address,
-                                        true,
-                                        false,
-                                        1,
-                                        true,
-                                        Map.of()),
-                                0),
-                        0);
-            }
+            others.forEach(other -> KnownPeers.add(peers, other.id, NORTH, ZONE, 0));
         }
 
         /** Records a request whose first attempt fails, and returns whether it is retried. */
