Count the instances of a region without building a list

instancesInRegion runs for each request that is sent, for its log line; the list that it shared with coldRateShare was built there only to be counted. Both read one stream now.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -11,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -178,7 +179,7 @@
      * @return number of instances: the local one and all known ones of the region
      */
     public int instancesInRegion(Region region) {
-        return othersInRegion(region).size() + 1;
+        return (int) othersInRegion(region).count() + 1;
     }
 
     /**
@@ -195,19 +196,16 @@
         if (isDiscovering(nowMs)) {
             return 0;
         }
-        List<InstanceId> others = othersInRegion(region);
+        List<InstanceId> others = othersInRegion(region).toList();
         int senders = Math.min(SENDERS_PER_COLD_SERVER, others.size() + 1);
         return RendezvousHash.rank(server.name(), self, others) < senders ? 1.0 / senders : 0;
     }
 
-    private List<InstanceId> othersInRegion(Region region) {
-        List<InstanceId> others = new ArrayList<>();
-        for (PeerEntry entry : known.values()) {
-            if (entry.state.region().equals(region)) {
-                others.add(entry.state.id());
-            }
-        }
-        return others;
+    private Stream<InstanceId> othersInRegion(Region region) {
+        return known.values().stream()
+                .map(PeerEntry::state)
+                .filter(state -> state.region().equals(region))
+                .map(PeerState::id);
     }
 
     /**
