--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/NonStreamingCallHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/NonStreamingCallHandler.java
@@ -1,17 +1,14 @@
 package org.ibissaddle.daemon.stream;
 
 import java.io.IOException;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import okhttp3.Call;
 import org.ibissaddle.daemon.backend.StreamClient;
 import org.ibissaddle.daemon.backend.StreamClient.StartResult;
 import org.ibissaddle.daemon.caller.ClientResponseWriter;
-import org.ibissaddle.daemon.path.GatewayHeaders;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.dispatch.Dispatch;
-import org.ibissaddle.dispatch.Outcome;
 import org.ibissaddle.dispatch.Step;
 import org.ibissaddle.outcome.ExecutionStatus;
 import org.ibissaddle.outcome.Refusal;
@@ -48,7 +45,8 @@
                 AttemptResult evidence = attempt(place, placementRequest, requests, placer, call);
                 step = dispatch.next(evidence, dependencies.clock().nowMs());
             }
-            respond(((Step.Finish) step).outcome(), response);
+            OutcomeResponse.send(
+                    ((Step.Finish) step).outcome(), dependencies.settings().instance(), response);
             dependencies.crashTracker().recordCompletion(requests.body());
         }
     }
@@ -131,20 +129,4 @@
             dependencies.crashTracker().recordCrash(target.id());
         }
     }
-
-    private void respond(Outcome outcome, ClientResponseWriter response) throws RefusedException, IOException {
-        switch (outcome) {
-            case Outcome.Ran ran -> {
-                Map<String, String> headers = new LinkedHashMap<>(ran.answer().headers());
-                headers.put(
-                        GatewayHeaders.INSTANCE,
-                        dependencies.settings().instance().name());
-                response.sendComplete(
-                        ran.answer().status(), headers, ran.answer().body());
-            }
-            case Outcome.FailedAfterRunning failed -> throw new RefusedException(failed.refusal());
-            case Outcome.NotRun notRun -> throw new RefusedException(notRun.refusal());
-            case Outcome.Unknown unknown -> throw new RefusedException(unknown.refusal());
-        }
-    }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
@@ -19,7 +19,6 @@
 import org.ibissaddle.daemon.path.GatewayHeaders;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.dispatch.Dispatch;
-import org.ibissaddle.dispatch.Outcome;
 import org.ibissaddle.dispatch.Step;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.outcome.ExecutionStatus;
@@ -105,7 +104,8 @@
                     ((StartResult.Failed) startResult).evidence(),
                     dependencies.clock().nowMs());
         }
-        respond(((Step.Finish) step).outcome());
+        OutcomeResponse.send(
+                ((Step.Finish) step).outcome(), dependencies.settings().instance(), reply);
         return Optional.empty();
     }
 
@@ -252,21 +252,6 @@
                 currentTarget.get().id(), dependencies.clock().nowMs());
     }
 
-    private void respond(Outcome outcome) throws RefusedException, IOException {
-        switch (outcome) {
-            case Outcome.Ran ran -> {
-                Map<String, String> headers = new LinkedHashMap<>(ran.answer().headers());
-                headers.put(
-                        GatewayHeaders.INSTANCE,
-                        dependencies.settings().instance().name());
-                reply.sendComplete(ran.answer().status(), headers, ran.answer().body());
-            }
-            case Outcome.FailedAfterRunning failed -> throw new RefusedException(failed.refusal());
-            case Outcome.NotRun notRun -> throw new RefusedException(notRun.refusal());
-            case Outcome.Unknown unknown -> throw new RefusedException(unknown.refusal());
-        }
-    }
-
     private void endWithError(Refusal refusal) throws IOException, RefusedException {
         dependencies.log().warning("answer-cut", "request", placementRequest.request(), "cause", refusal.message());
         if (!reply.started()) {
