Take listening ports below the range of outgoing connections

Tests and stand-ins asked the operating system for a free port, released it and listened on it later. An outgoing connection of another process could take it in between: GatewayTest failed once with "Address already in use" beside other test runs (today), TwoRegionsTest once before, and a killed engine could not listen on its port again.

Ports, which the proof module had for its instances, moves to the stand-ins and serves all of them: the tests of the daemon, HttpStandin, the embedded deployment and the training run. Each process starts at another port, so that test runs beside each other rarely meet.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/TrainCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/TrainCommand.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -20,6 +19,7 @@
 import org.ibissaddle.daemon.settings.SettingsException;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.platform.SampleMessages;
+import org.ibissaddle.standins.Ports;
 
 /**
  * Training run for class data sharing (CDS): briefly runs gateways of two regions on loopback and sends them requests,
@@ -135,16 +135,10 @@
     }
 
     private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> probes = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                probes.add(new ServerSocket(0));
-            }
-            return probes.stream().map(ServerSocket::getLocalPort).toList();
-        } finally {
-            for (ServerSocket probe : probes) {
-                probe.close();
-            }
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ports.add(Ports.allocate("127.0.0.1"));
         }
+        return ports;
     }
 }
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/deployment/EmbeddedDeployment.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/deployment/EmbeddedDeployment.java
@@ -19,6 +19,7 @@
 import org.ibissaddle.standins.InstanceEntry;
 import org.ibissaddle.standins.PlatformOptions;
 import org.ibissaddle.standins.PlatformStandin;
+import org.ibissaddle.standins.Ports;
 import org.ibissaddle.standins.ServiceOptions;
 import org.ibissaddle.standins.ServiceStandin;
 import org.ibissaddle.standins.StandinStartException;
@@ -91,8 +92,8 @@
     }
 
     private void addInstance(DeploymentSpec.NodeSpec node) throws IOException {
-        Address caller = new Address(LOOPBACK, freePort());
-        Address control = new Address(LOOPBACK, freePort());
+        Address caller = new Address(LOOPBACK, Ports.allocate(LOOPBACK));
+        Address control = new Address(LOOPBACK, Ports.allocate(LOOPBACK));
         Settings settings = new Settings(
                 new InstanceId(node.name()),
                 new Region(node.region()),
@@ -118,12 +119,6 @@
                 InstanceEntry.LIVE));
     }
 
-    private static int freePort() throws IOException {
-        try (java.net.ServerSocket socket = new java.net.ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static Address address(InetSocketAddress socket) {
         return new Address(socket.getAddress().getHostAddress(), socket.getPort());
     }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/control/ControlServerTest.java
@@ -4,7 +4,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -26,6 +25,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.standins.Ports;
 import org.ibissaddle.ticket.DeploymentKey;
 import org.ibissaddle.ticket.TicketCodec;
 import org.ibissaddle.timeline.EventSource;
@@ -81,9 +81,7 @@
     }
 
     private static Address freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        }
+        return new Address("127.0.0.1", Ports.allocate("127.0.0.1"));
     }
 
     private RawHttpClient.RawResponse query(byte[] body) throws IOException {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -6,7 +6,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -17,6 +16,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.standins.Ports;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -89,9 +89,7 @@
     }
 
     private static Address freeAddress() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0)) {
-            return new Address("127.0.0.1", probe.getLocalPort());
-        }
+        return new Address("127.0.0.1", Ports.allocate("127.0.0.1"));
     }
 
     private static String exchange(Address to, String request) throws IOException {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -15,6 +14,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.standins.Ports;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -79,9 +79,7 @@
     }
 
     private static Address freeAddress() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0)) {
-            return new Address("127.0.0.1", probe.getLocalPort());
-        }
+        return new Address("127.0.0.1", Ports.allocate("127.0.0.1"));
     }
 
     private String call(String path) throws IOException {
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/TestFleet.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/harness/TestFleet.java
@@ -22,6 +22,7 @@
 import org.ibissaddle.standins.LinkFaults;
 import org.ibissaddle.standins.PlatformOptions;
 import org.ibissaddle.standins.PlatformStandin;
+import org.ibissaddle.standins.Ports;
 import org.ibissaddle.standins.ServiceOptions;
 import org.ibissaddle.standins.ServiceStandin;
 
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -64,6 +65,9 @@
 
     /** Starts listening; reuses the same port after a {@link #close()}. */
     public void start() throws StandinStartException {
+        if (port == 0) {
+            port = allocatePort();
+        }
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -76,7 +80,14 @@
             throw new StandinStartException(name, port, bound.cause());
         }
         listener = Optional.of(bound.channel());
-        port = address().getPort();
+    }
+
+    private int allocatePort() throws StandinStartException {
+        try {
+            return Ports.allocate(InetAddress.getLoopbackAddress().getHostAddress());
+        } catch (IOException e) {
+            throw new StandinStartException(name, 0, e);
+        }
     }
 
     /** Returns the name used in messages. */
