Publish the servers before the release note that needs them

Callers could see: an instance that had just reported ready answered 503 no-server to its first requests. The control plane activated a note at once, but published the fleet view at most every 50 ms. Requests were accepted with the note, and for up to 50 ms without its servers.

Both tests of StatePublisherTest failed with the old order. The publication is a class of its own now, which the test drives with the control loop; it publishes the view with each new note, and before it.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
@@ -44,9 +44,8 @@
  */
 public final class ControlPlane implements AutoCloseable {
     private static final long POLL_TIMEOUT_MS = 1_000;
-    private static final long MIN_VIEW_INTERVAL_MS = ControlLoop.TICK_MS / 2;
 
-    private final SharedState state;
+    private final StatePublisher publisher;
     private final Clock clock;
     private final EventLog log;
     private final ControlHttpClient http;
@@ -56,11 +55,9 @@
     private final DeploymentKey key;
     private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
     private final AtomicReference<Consumer<Gossip>> gossipListener = new AtomicReference<>(gossip -> {});
-    private boolean wasReady;
-    private long viewPublishedAtMs;
 
     private ControlPlane(Settings settings, SharedState state, Clock clock, EventLog log) {
-        this.state = state;
+        this.publisher = new StatePublisher(state);
         this.clock = clock;
         this.log = log;
         this.key = settings.deploymentKey();
@@ -164,22 +161,8 @@
     }
 
     private void perform(ControlLoop loop, List<ControlLoopAction> actions) {
-        long nowMs = clock.nowMs();
         actions.forEach(this::execute);
-        if (loop.isReady()) {
-            boolean firstPublication = !wasReady;
-            wasReady = true;
-            loop.notes()
-                    .inForce()
-                    .filter(note -> firstPublication
-                            || state.note().filter(note::equals).isEmpty())
-                    .ifPresent(state::activateNote);
-        }
-        if (Math.abs(nowMs - viewPublishedAtMs) >= MIN_VIEW_INTERVAL_MS) {
-            viewPublishedAtMs = nowMs;
-            state.replaceNoteStatus(loop.notes().status(nowMs));
-            state.replaceFleet(loop.view(nowMs));
-        }
+        publisher.publish(loop, clock.nowMs());
     }
 
     private void execute(ControlLoopAction action) {
