Repeat a request whose server error has a body without end

Callers saw: a server answered 500 and sent a body without end; on a route that may be repeated, the body was relayed until the deadline in place of another attempt, because the decision waited for the end of the response.

The decision needs only the head, so it is made there, like the decisions on all other rejected responses.

The new case of GatewayTest failed before (the answer was the 500).

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -128,14 +128,6 @@
             return;
         }
         recordTimeToFirstContent();
-        if (isServerFailure(head) && exchange.isRepeatable() && exchange.canRetry(ExecutionEvidence.MAY_HAVE_RUN)) {
-            recordServerFailure();
-            fail(new Rejection(
-                    ExecutionEvidence.MAY_HAVE_RUN,
-                    true,
-                    "status " + head.status().code()));
-            return;
-        }
         finish();
         if (isServerFailure(head)) {
             recordServerFailure();
@@ -207,6 +199,10 @@
             return Optional.of(
                     new Rejection(ExecutionEvidence.MAY_HAVE_RUN, true, "resume request returned status " + status));
         }
+        if (isServerFailure(response) && exchange.isRepeatable() && exchange.canRetry(ExecutionEvidence.MAY_HAVE_RUN)) {
+            recordServerFailure();
+            return Optional.of(new Rejection(ExecutionEvidence.MAY_HAVE_RUN, true, "status " + status));
+        }
         return Optional.empty();
     }
 
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -320,6 +320,12 @@
             shouldUseTheOtherServer("/any/7", head, "x".repeat(1_000));
         }
 
+        @Test
+        void shouldUseAnotherServerWhenTheBodyOfAServerErrorNeverEnds() throws IOException {
+            String head = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n\r\n";
+            shouldUseTheOtherServer("/any/7", head, "x".repeat(1_000));
+        }
+
         @Test
         void shouldUseAnotherServerWhenAnEventNeverEnds() throws IOException {
             shouldUseTheOtherServer("/resumed/7", OK + "\r\ndata: ", "x".repeat(1_000));
