Enforce the share of a link that forwarded requests may use

The budget of a link was checked but nothing was ever deducted from it, and each instance took the share of the whole link.

A forwarded request is now deducted, and the instances of a region divide the share. A budget that holds a full second admits a request of any size, since a part of a link may be smaller than one request.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ByteBudget.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/ByteBudget.java
@@ -10,10 +10,15 @@
 
     private final AtomicLong reservedUntilMicros = new AtomicLong();
 
-    /** Returns whether the given number of bytes fits into the budget now. */
+    /**
+     * Returns whether the given number of bytes fits into the budget now. A full budget admits any number of bytes, so
+     * that large requests are not excluded for ever.
+     */
     boolean fits(double bytes, double bytesPerSecond, long nowMs) {
+        long previous = reservedUntilMicros.get();
+        boolean full = previous <= nowMs * MICROS_PER_MS;
         return bytesPerSecond > 0
-                && reservedUntil(reservedUntilMicros.get(), bytes, bytesPerSecond, nowMs) <= burstLimitMicros(nowMs);
+                && (full || reservedUntil(previous, bytes, bytesPerSecond, nowMs) <= burstLimitMicros(nowMs));
     }
 
     /** Deducts bytes from the budget; may overdraw it. */
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PlacementSnapshot.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/PlacementSnapshot.java
@@ -21,6 +21,9 @@
 
     final FleetView fleet;
     final Map<Region, List<InstanceView>> livePeers;
+    /** Number of instances of the local region, including the local one and those that are down. */
+    final int instancesInRegion;
+
     private final Map<PoolId, List<Candidate>> serversByPool = new HashMap<>();
     private final Map<PoolId, Candidates> candidatesByPool = new HashMap<>();
     private final Map<PoolId, Double> hitRates = new HashMap<>();
@@ -31,6 +34,10 @@
     PlacementSnapshot(FleetView fleet, Function<ServerView, ServerState> states, long nowMs) {
         this.fleet = fleet;
         livePeers = livePeersByRegion(fleet);
+        instancesInRegion = 1
+                + (int) fleet.peers().stream()
+                        .filter(peer -> peer.region().equals(fleet.self().region()))
+                        .count();
         Map<PoolId, List<ServerView>> views = new HashMap<>();
         for (ServerView server : fleet.servers()) {
             if (server.region().equals(fleet.self().region())) {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Spill.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/placement/Spill.java
@@ -73,23 +73,32 @@
         if (!overThreshold && !local.refused) {
             return Optional.empty();
         }
-        Region here = snapshot.fleet.self().region();
         InstanceView best = null;
         double bestGain = 0;
         for (Map.Entry<Region, List<InstanceView>> entry : snapshot.livePeers.entrySet()) {
             Region there = entry.getKey();
-            if (!RegionBinding.mayForward(request.workspace().id(), there, request.forwardedBy(), note, here)) {
+            if (!RegionBinding.mayForward(
+                    request.workspace().id(),
+                    there,
+                    request.forwardedBy(),
+                    note,
+                    snapshot.fleet.self().region())) {
                 continue;
             }
             InstanceView peer = lessLoadedOfTwo(entry.getValue(), random);
-            double gain = isEligible(there, peer, rules, nowMs) ? gain(request, note, here, peer, local, nowMs) : 0;
+            double gain = isEligible(there, peer, rules, nowMs) ? gain(request, note, snapshot, peer, local, nowMs) : 0;
             if (gain > bestGain) {
                 best = peer;
                 bestGain = gain;
             }
         }
-        boolean acquired = best != null && region(best.region()).direction.trySend(nowMs);
-        return acquired ? Optional.of(best) : Optional.empty();
+        if (best == null || !region(best.region()).direction.trySend(nowMs)) {
+            return Optional.empty();
+        }
+        region(best.region())
+                .linkBudget
+                .consume(bytes(request, local.tokens), budgetRate(note, snapshot, best.region()), nowMs);
+        return Optional.of(best);
     }
 
     /** Bytes that a forwarded request transfers over the link in both directions. */
@@ -104,6 +113,11 @@
                 .orElse(0.0);
     }
 
+    /** Part of {@link #linkRate} that each instance of the local region may use, bytes per second. */
+    private static double budgetRate(ReleaseNote note, PlacementSnapshot snapshot, Region there) {
+        return linkRate(note, snapshot.fleet.self().region(), there) / snapshot.instancesInRegion;
+    }
+
     private static double loadThreshold(SpillRules rules, int priority) {
         double span = Math.max(rules.startAbove() - rules.stopBelow(), 0);
         return rules.stopBelow() + span * 2 * priority / Workspace.MAX_PRIORITY;
@@ -121,10 +135,11 @@
     private double gain(
             PlacementRequest request,
             ReleaseNote note,
-            Region here,
+            PlacementSnapshot snapshot,
             InstanceView peer,
             LocalEstimate local,
             long nowMs) {
+        Region here = snapshot.fleet.self().region();
         Optional<Link> link = note.link(here, peer.region());
         if (link.isEmpty()) {
             return 0;
@@ -132,7 +147,7 @@
         double bytes = bytes(request, local.tokens);
         double rate = linkRate(note, here, peer.region());
         RemoteRegion region = region(peer.region());
-        if (!region.linkBudget.fits(bytes, rate, nowMs)) {
+        if (!region.linkBudget.fits(bytes, budgetRate(note, snapshot, peer.region()), nowMs)) {
             return 0;
         }
         ObjectiveWeights weights = note.weights();
--- a/ibissaddle-core/src/test/java/org/ibissaddle/placement/Fleets.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/placement/Fleets.java
@@ -48,6 +48,10 @@
     }
 
     static ReleaseNote note(ObjectiveWeights weights, Workspace... workspaces) {
+        return note(weights, new SpillRules(true, 0.5, 0.8, 0.4, 0.1, 0.3), workspaces);
+    }
+
+    static ReleaseNote note(ObjectiveWeights weights, SpillRules spill, Workspace... workspaces) {
         Map<WorkspaceId, Workspace> all = new TreeMap<>();
         for (Workspace workspace : workspaces) {
             all.put(workspace.id(), workspace);
@@ -62,7 +66,7 @@
                 all,
                 List.of(),
                 List.of(new Link(A, B, 12_500_000, 55, 0.1)),
-                new SpillRules(true, 0.5, 0.8, 0.4, 0.1, 0.3),
+                spill,
                 weights);
     }
 
