Limit the accumulated retries of a pool over all instances

On the own interface each instance could save up 256 retries for a pool, so that 35 instances had 8,960, 380 had 97,280.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/RetryBudget.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/RetryBudget.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.dispatch;
 
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
 
 /**
  * Limits the retries or hedged requests of a pool to a fraction of its calls, so that retries do not overload a failing
@@ -11,13 +12,13 @@
     private static final long SCALED_TOKEN = 1_000;
 
     private final long refill;
-    private final long capacity;
+    private final IntSupplier burst;
     private final AtomicLong tokens;
 
-    private RetryBudget(long refill, long capacity) {
+    private RetryBudget(long refill, IntSupplier burst) {
         this.refill = refill;
-        this.capacity = capacity;
-        tokens = new AtomicLong(capacity);
+        this.burst = burst;
+        tokens = new AtomicLong(capacity());
     }
 
     /**
@@ -28,11 +29,27 @@
      * @return the budget
      */
     public static RetryBudget of(double ratio, int burst) {
-        return new RetryBudget(Math.round(ratio * SCALED_TOKEN), burst * SCALED_TOKEN);
+        return of(ratio, () -> burst);
+    }
+
+    /**
+     * Creates a full budget whose burst varies, for example with the number of instances that share it.
+     *
+     * @param ratio retries allowed per call, 0 to 1
+     * @param burst maximum number of accumulated retries at the time of the call
+     * @return the budget
+     */
+    public static RetryBudget of(double ratio, IntSupplier burst) {
+        return new RetryBudget(Math.round(ratio * SCALED_TOKEN), burst);
+    }
+
+    private long capacity() {
+        return burst.getAsInt() * SCALED_TOKEN;
     }
 
     /** Records a call that is not a retry. */
     public void recordCall() {
+        long capacity = capacity();
         tokens.accumulateAndGet(refill, (available, added) -> Math.min(capacity, available + added));
     }
 
@@ -42,12 +59,14 @@
      * @return whether a token was available
      */
     public boolean tryAcquire() {
+        long capacity = capacity();
         while (true) {
-            long available = tokens.get();
+            long saved = tokens.get();
+            long available = Math.min(saved, capacity);
             if (available < SCALED_TOKEN) {
                 return false;
             }
-            if (tokens.compareAndSet(available, available - SCALED_TOKEN)) {
+            if (tokens.compareAndSet(saved, available - SCALED_TOKEN)) {
                 return true;
             }
         }
