Assume the declared models of a server until its own are known

Callers saw: an instance that had just started answered 503 no-server.

Cause: until a server reports its models, those that the note declares are assumed, but only while its load is unknown too. Peers send the load of a server more often than its models, so an instance that had just started often knew the load alone, and took the server for one without models. A peer that didn't know the models itself reported that there are none.

Whether the models are known is now kept apart from the load, for each incarnation of a server, and unknown models are not sent to peers.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/DefaultControlLoop.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/DefaultControlLoop.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.fleet.FleetView;
-import org.ibissaddle.fleet.ServerView;
 import org.ibissaddle.id.Address;
+import org.ibissaddle.id.ModelId;
+import org.ibissaddle.id.PoolId;
 import org.ibissaddle.membership.ControlLoop;
 import org.ibissaddle.membership.ControlLoopAction;
 import org.ibissaddle.membership.ControlLoopEvent;
@@ -28,7 +30,6 @@
 import org.ibissaddle.note.NoteRejectedException;
 import org.ibissaddle.note.NoteSource;
 import org.ibissaddle.note.Pool;
-import org.ibissaddle.note.ReleaseNote;
 
 /** Default implementation of {@link ControlLoop}. */
 public final class DefaultControlLoop implements ControlLoop {
@@ -398,32 +399,13 @@
 
     @Override
     public FleetView view(long nowMs) {
-        FleetView view = membership.view(refreshedAtMs, nowMs);
-        if (ledger.inForce().isEmpty()) {
-            return view;
-        }
-        ReleaseNote note = ledger.inForce().get();
-        List<ServerView> servers = view.servers().stream()
-                .map(server -> withDeclaredModels(server, note))
-                .toList();
-        return new FleetView(view.self(), view.peers(), servers, view.refreshedAtMs());
-    }
-
-    /** Assumes the models declared by the note for a server whose load and models are not known yet. */
-    private static ServerView withDeclaredModels(ServerView server, ReleaseNote note) {
-        Pool pool = note.pools().get(server.pool());
-        if (pool == null || server.load().reportedAtMs() > 0 || !server.models().isEmpty()) {
-            return server;
-        }
-        return new ServerView(
-                server.id(),
-                server.incarnation(),
-                server.pool(),
-                server.region(),
-                server.zone(),
-                server.address(),
-                server.health(),
-                pool.models(),
-                server.load());
+        return membership.view(this::declaredModels, refreshedAtMs, nowMs);
+    }
+
+    private Set<ModelId> declaredModels(PoolId pool) {
+        return ledger.inForce()
+                .map(note -> note.pools().get(pool))
+                .map(Pool::models)
+                .orElse(Set.of());
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/DefaultMembership.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/DefaultMembership.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
@@ -17,6 +18,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.InvalidIdentifierException;
 import org.ibissaddle.id.ModelId;
+import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
@@ -239,8 +241,7 @@
                 addName(names.get(position), models, adapters);
             }
         }
-        server.models = Set.copyOf(models);
-        server.adapters = Set.copyOf(adapters);
+        server.setResident(models, adapters);
     }
 
     private static void addName(String name, Set<ModelId> models, Set<AdapterId> adapters) {
@@ -357,8 +358,7 @@
             pendingUpdates.addLoad(server.id, servers.sharesLoadsInRegion(), nowMs);
         }
         boolean residentChanged = !server.models.equals(report.models()) || !server.adapters.equals(report.adapters());
-        server.models = report.models();
-        server.adapters = report.adapters();
+        server.setResident(report.models(), report.adapters());
         if (newIncarnation
                 || startedLeaving
                 || residentChanged
@@ -459,7 +459,7 @@
     }
 
     @Override
-    public FleetView view(long refreshedAtMs, long nowMs) {
+    public FleetView view(Function<PoolId, Set<ModelId>> declaredModels, long refreshedAtMs, long nowMs) {
         Health health = members.leaving() ? Health.LEAVING : Health.LIVE;
         InstanceView selfView = new InstanceView(
                 self.id(),
@@ -483,7 +483,8 @@
         }
         List<ServerView> serverViews = new ArrayList<>();
         for (Server server : servers.all()) {
-            serverViews.add(server.view(self.id(), servers.effectiveLoad(server, nowMs), nowMs));
+            Set<ModelId> declared = declaredModels.apply(server.entry.pool().orElseThrow());
+            serverViews.add(server.view(self.id(), servers.effectiveLoad(server, nowMs), declared, nowMs));
         }
         return new FleetView(selfView, peers, serverViews, refreshedAtMs);
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/PendingUpdates.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/PendingUpdates.java
@@ -140,7 +140,7 @@
 
         void addServer(Server server, ServerObservation observation, long nowMs) {
             List<Integer> resident = null;
-            if (observation.resident()) {
+            if (observation.resident() && server.residentKnown) {
                 resident = new ArrayList<>();
                 for (ModelId model : server.models) {
                     resident.add(nameIndex(model.toString()));
--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Server.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/Server.java
@@ -25,6 +25,9 @@
     Incarnation incarnation;
     Set<ModelId> models = Set.of();
     Set<AdapterId> adapters = Set.of();
+    /** Whether the models and adapters of the current incarnation are known. */
+    boolean residentKnown;
+
     ServerLoad load = ServerLoad.NONE;
     boolean leaving;
     /** Whether the server was removed from the platform's list and that removal was accepted. */
@@ -52,6 +55,7 @@
             leaving = false;
             models = Set.of();
             adapters = Set.of();
+            residentKnown = false;
         }
         incarnation = next;
         return true;
@@ -109,7 +113,14 @@
         return isSuspect(self, nowMs) ? Health.SUSPECT : Health.LIVE;
     }
 
-    ServerView view(InstanceId self, ServerLoad shown, long nowMs) {
+    void setResident(Set<ModelId> nextModels, Set<AdapterId> nextAdapters) {
+        models = Set.copyOf(nextModels);
+        adapters = Set.copyOf(nextAdapters);
+        residentKnown = true;
+    }
+
+    /** Returns the view of this server; the declared models stand in for its own until these are known. */
+    ServerView view(InstanceId self, ServerLoad shown, Set<ModelId> declaredModels, long nowMs) {
         return new ServerView(
                 id,
                 Optional.ofNullable(incarnation),
@@ -118,7 +129,7 @@
                 entry.zone(),
                 entry.address(),
                 health(self, nowMs),
-                models,
+                residentKnown ? models : declaredModels,
                 shown,
                 adapters);
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/membership/Membership.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/membership/Membership.java
@@ -2,9 +2,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.ModelId;
+import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.internal.membership.DefaultMembership;
@@ -199,9 +203,10 @@
     /**
      * Returns a snapshot of the membership view.
      *
+     * @param declaredModels models to assume for a server of a pool until its own are known
      * @param refreshedAtMs time of the last refresh, epoch milliseconds
      * @param nowMs current time, epoch milliseconds
      * @return the snapshot
      */
-    FleetView view(long refreshedAtMs, long nowMs);
+    FleetView view(Function<PoolId, Set<ModelId>> declaredModels, long refreshedAtMs, long nowMs);
 }
