Take two tests off the list whose cause is mended

TwoRegionsTest and WholeAnswersTest were listed for ports that another connection had taken between their release and their use; Ports mends that.

--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
@@ -17,7 +17,6 @@
 import org.ibissaddle.standins.Ports;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests two instances in two regions, of which only the south has a server. */
@@ -116,7 +115,6 @@
         assertThat(server.arrivals()).isEmpty();
     }
 
-    @Tag("known-red")
     @Test
     void shouldApplyANewConfigurationInBothRegions() throws IOException {
         callUntil("/first/7", "HTTP/1.1 200");
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/WholeAnswersTest.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/WholeAnswersTest.java
@@ -18,7 +18,6 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
@@ -110,7 +109,6 @@
     @Nested
     class WithFaults {
         @Test
-        @Tag("known-red")
         void shouldEndEveryAnswerWholeOrWithAnExplicitError() throws InterruptedException {
             AtomicBoolean finished = new AtomicBoolean();
             ConcurrentLinkedQueue<Throwable> failures = new ConcurrentLinkedQueue<>();
