Revert "Don't poll cold servers for cache events"

Suspected, not traced: what a cold server reads is learned only at the end of its cold period, so that the next prompts go elsewhere and are read again.

The polls of all instances at a new server stay as they were, an open row of the postmortem.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
@@ -76,11 +76,6 @@
                 pollAfter(FAILURE_DELAY_MS);
                 return;
             }
-            long coldMs = server.coldRemainingMs(core.nowMs());
-            if (coldMs > 0) {
-                pollAfter(coldMs);
-                return;
-            }
             HttpRequest request = new DefaultHttpRequest(
                     HttpVersion.HTTP_1_1, HttpMethod.GET, KvCacheProtocol.changesTarget(nextSequence));
             request.headers()
