Let stand-ins try again when their port is in use for a moment

No other test run was on the machine, and Ports returns no port twice.

Suspected, not shown: three scenarios run at once and start processes, and a process that is being forked holds the sockets of its parent, the probe of Ports among them, until it executes its program. A stand-in that restarts at its port can meet the same.

A stand-in tries five times, 50 ms apart, with another port if any will do.

--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
@@ -21,12 +21,18 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.ibissaddle.standins.internal.http.ExchangeHandler;
 import org.ibissaddle.standins.internal.http.HttpExchange;
 import org.ibissaddle.standins.internal.http.RequestRejectedException;
 
 /** Base class of the stand-ins: an HTTP/1.1 server on the loopback interface with state confined to one event loop. */
 public abstract class HttpStandin implements AutoCloseable {
+    /** A port that was free can be taken before it is bound, or be held for a moment by a process being forked. */
+    private static final int MAX_BIND_ATTEMPTS = 5;
+
+    private static final long BIND_RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
     private static final int MAX_LINE_BYTES = 64 * 1024;
@@ -65,21 +71,28 @@
 
     /** Starts listening; reuses the same port after a {@link #close()}. */
     public void start() throws StandinStartException {
-        if (port == 0) {
-            port = allocatePort();
+        boolean anyPort = port == 0;
+        ChannelFuture bound = bind(anyPort ? allocatePort() : port);
+        for (int i = 1; i < MAX_BIND_ATTEMPTS && !bound.isSuccess(); i++) {
+            LockSupport.parkNanos(BIND_RETRY_DELAY_NANOS);
+            bound = bind(anyPort ? allocatePort() : port);
+        }
+        if (!bound.isSuccess()) {
+            throw new StandinStartException(name, port, bound.cause());
         }
-        ChannelFuture bound = new ServerBootstrap()
+        listener = Optional.of(bound.channel());
+        port = address().getPort();
+    }
+
+    private ChannelFuture bind(int listeningPort) {
+        return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ConnectionInitializer())
-                .bind(InetAddress.getLoopbackAddress(), port)
+                .bind(InetAddress.getLoopbackAddress(), listeningPort)
                 .awaitUninterruptibly();
-        if (!bound.isSuccess()) {
-            throw new StandinStartException(name, port, bound.cause());
-        }
-        listener = Optional.of(bound.channel());
     }
 
     private int allocatePort() throws StandinStartException {
