--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -135,8 +135,10 @@
             server.ifPresent(BackendServer::recordSuccess);
         }
         int status = head.status().code();
+        String framing = exchange.relay().framing();
+        int partialEventBytes = exchange.relay().partialEventBytes();
         exchange.relay().onEnd();
-        exchange.onResponseComplete(this, status);
+        exchange.onResponseComplete(this, status, framing, partialEventBytes);
     }
 
     @Override
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/EventSplitter.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/EventSplitter.java
@@ -45,7 +45,12 @@
 
     /** Returns whether the bytes after the last complete event exceed the maximum size of an event. */
     boolean isPartialEventTooLong() {
-        return partialEvent != null && partialEvent.readableBytes() > MAX_EVENT_BYTES;
+        return partialEventBytes() > MAX_EVENT_BYTES;
+    }
+
+    /** Returns the number of bytes after the last complete event. */
+    int partialEventBytes() {
+        return partialEvent == null ? 0 : partialEvent.readableBytes();
     }
 
     /** Discards the bytes after the last complete event. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -303,7 +303,7 @@
     }
 
     /** Called when a complete response has been relayed. */
-    void onResponseComplete(Attempt from, int status) {
+    void onResponseComplete(Attempt from, int status, String framing, int partialEventBytes) {
         core.metrics().recordResponse(service, status, elapsedMs());
         core.log()
                 .info(
@@ -316,6 +316,10 @@
                         from.target(),
                         "status",
                         status,
+                        "framing",
+                        framing,
+                        "partialEventBytes",
+                        partialEventBytes,
                         "tookMs",
                         elapsedMs(),
                         "sends",
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
  * Relays the response of a server. A plain response is relayed once it is complete; an event stream is relayed one
@@ -75,6 +76,19 @@
         return responseWriter.isWritable();
     }
 
+    /** How the length of the response is determined, for logs. */
+    String framing() {
+        if (HttpUtil.isTransferEncodingChunked(head)) {
+            return "chunked";
+        }
+        return HttpUtil.isContentLengthSet(head) ? "length" : "close";
+    }
+
+    /** Returns the number of bytes after the last complete event. */
+    int partialEventBytes() {
+        return events.partialEventBytes();
+    }
+
     void onEnd() {
         if (eventStream || started) {
             startIfNeeded();
