--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -29,6 +29,14 @@
     private final AtomicLong endlessBytes = new AtomicLong();
     private final AtomicLong endlessResponses = new AtomicLong();
     private volatile String endlessTail = "";
+    private volatile ConnectionEnd connectionEnd = ConnectionEnd.KEPT;
+
+    /** What happens to the connection after a response. */
+    enum ConnectionEnd {
+        KEPT,
+        CLOSED,
+        RESET
+    }
 
     FakeBackendServer(String id) throws IOException {
         this.id = id;
@@ -47,6 +55,12 @@
         responder = next;
     }
 
+    /** Responds with exact bytes and ends the connection after each response, except those of health checks. */
+    void respondAndEndConnection(Function<Map<String, String>, String> next, ConnectionEnd end) {
+        connectionEnd = end;
+        responder = next;
+    }
+
     /** Sends the start of a response, then repeats the tail until the client closes the connection. */
     void respondWithoutEnd(Function<Map<String, String>, String> start, String tail) {
         responder = start;
@@ -102,9 +116,16 @@
                     return;
                 }
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-                if (!endlessTail.isEmpty() && !request.get("path").equals("/healthz")) {
+                if (request.get("path").equals("/healthz")) {
+                    continue;
+                }
+                if (!endlessTail.isEmpty()) {
                     sendWithoutEnd(socket);
                 }
+                if (connectionEnd != ConnectionEnd.KEPT) {
+                    socket.setSoLinger(connectionEnd == ConnectionEnd.RESET, 0);
+                    return;
+                }
             }
         } catch (IOException e) {
             // Expected: the gateway closes connections that it no longer uses.
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
@@ -0,0 +1,80 @@
+package org.ibissaddle.daemon.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.ibissaddle.id.Address;
+import org.ibissaddle.id.InstanceId;
+import org.ibissaddle.id.Region;
+import org.ibissaddle.id.Zone;
+import org.ibissaddle.standins.Ports;
+
+/** Starts gateways in the regions north and south, and calls them with exact bytes. */
+final class GatewayFixture {
+    private static final Map<Zone, Region> ZONES =
+            Map.of(new Zone("north-a"), new Region("north"), new Zone("south-a"), new Region("south"));
+    private static final GatewaySettings.PlatformLimits LIMITS =
+            new GatewaySettings.PlatformLimits(0.2, 10_000, 1_000, 4_000, 5);
+
+    private GatewayFixture() {}
+
+    /** Starts an instance in the zone {@code REGION-a}, whose directory also serves its readiness check. */
+    static Gateway start(
+            String region, Address caller, Address directory, Address peer, List<Address> seeds, Address store)
+            throws IOException {
+        GatewaySettings settings = new GatewaySettings(
+                new InstanceId(region + "-1"),
+                new Region(region),
+                new Zone(region + "-a"),
+                ZONES,
+                caller,
+                directory,
+                directory,
+                peer,
+                0,
+                store,
+                seeds,
+                LIMITS);
+        return Gateway.start(
+                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
+    }
+
+    static Address freeAddress() throws IOException {
+        return new Address("127.0.0.1", Ports.allocate("127.0.0.1"));
+    }
+
+    /** Sends a request with the id 7 and returns the response, which ends with "(reset)" after a connection reset. */
+    static String call(Address caller, String method, String path, String headers, String body) throws IOException {
+        return exchange(
+                caller,
+                method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n"
+                        + headers + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n"
+                        + body);
+    }
+
+    static String exchange(Address to, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), to.port())) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    static String readAll(InputStream in) throws IOException {
+        StringBuilder text = new StringBuilder();
+        try {
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                text.append((char) next);
+            }
+        } catch (SocketException e) {
+            return text + "(reset)";
+        }
+        return text.toString();
+    }
+}
