Don't repeat a request whose plain response was relayed in part

What callers would see: the first megabytes of one response followed by the whole body of another one, framed as complete, on a route that may be repeated.

Cause: ResponseRelay sends a plain response on once it exceeds 1 MiB; when it broke off later, the request was still repeated, and the second response was appended. Found by looking for other places where an attempt ends after its response has started.

A response that has started is continued only if it is a stream of events; otherwise the caller's connection is closed without the last chunk.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -298,8 +298,9 @@
         return relay;
     }
 
+    /** Whether another server may run the request and the rest of its response can be relayed. */
     boolean isRepeatable() {
-        return route.isRetryable();
+        return route.isRetryable() && relay.isResumable();
     }
 
     /** Called when a complete response has been relayed. */
@@ -380,8 +381,7 @@
 
     private AttemptPolicy.RetryDecision next(AttemptPolicy.ExecutionEvidence evidence, int possibleRunsNow) {
         return AttemptPolicy.decide(
-                new AttemptPolicy.AttemptProgress(
-                        route.isRetryable(), mayHaveRun, possibleRunsNow, maxAttempts(), sends),
+                new AttemptPolicy.AttemptProgress(isRepeatable(), mayHaveRun, possibleRunsNow, maxAttempts(), sends),
                 evidence);
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
@@ -41,6 +41,11 @@
         return started;
     }
 
+    /** Whether the response of another server can follow what has been relayed. */
+    boolean isResumable() {
+        return !started || eventStream;
+    }
+
     /** Id of the event after which another server would resume; empty to start from the beginning. */
     String lastEventId() {
         return events.lastId().isEmpty() ? firstEventId : events.lastId();
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TruncatedResponseTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TruncatedResponseTest.java
@@ -259,7 +259,6 @@
         @EnumSource(
                 value = ConnectionEnd.class,
                 names = {"CLOSED", "RESET"})
-        @Tag("known-red")
         void shouldBreakOffAPlainResponseThatWasRelayedInPart(ConnectionEnd end) throws IOException {
             String part = "a".repeat(LARGE_BODY_BYTES - 1);
             respondInTurn(
