Report a JSON response that ends inside a value as truncated

What callers of the own interface would see: the first half of a JSON answer as a complete one, from a model engine or a plain service.

OkHttp reads a response without length or chunks until the connection closes. The bytes so far then counted as answered.

Such a body must be a whole value if it is JSON; other types have no end that could be checked, and a reset was reported before. Read and check are one function now for model calls and service calls.

Responses of instances always have a length or chunks.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
@@ -134,17 +134,18 @@
         if (ExecutionStatus.NOT_RUN.wireName().equals(response.header(RAN_HEADER))) {
             return new AttemptResult.ReportedNotRun(server, ServerRefusalParser.parse(server, response));
         }
-        Optional<AttemptResult> tooLong = ResponseSizeCheck.check(server, response, MAX_RESPONSE_BYTES);
-        if (tooLong.isPresent()) {
-            return tooLong.get();
+        byte[] body;
+        try {
+            body = ResponseBodyReader.read(server, response, MAX_RESPONSE_BYTES);
+        } catch (UnusableBodyException e) {
+            return new AttemptResult.TruncatedResponse(server, e.refusal());
         }
         Map<String, String> headers = new LinkedHashMap<>();
         for (String name : RELAYED_HEADERS) {
             Optional.ofNullable(response.header(name)).ifPresent(value -> headers.put(name, value));
         }
         attempt.retryAfter.ifPresent(value -> headers.put("retry-after", value));
-        return new AttemptResult.Answered(
-                server, new Answer(response.code(), headers, response.body().bytes()));
+        return new AttemptResult.Answered(server, new Answer(response.code(), headers, body));
     }
 
     private static Response sendOnce(Interceptor.Chain chain) throws IOException {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -5,7 +5,6 @@
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import javax.net.SocketFactory;
@@ -182,17 +181,18 @@
                             "server " + server + " responded with status " + response.code(),
                             ExecutionStatus.UNKNOWN));
         }
-        Optional<AttemptResult> tooLong = ResponseSizeCheck.check(server, response, MAX_RESPONSE_BYTES);
-        if (tooLong.isPresent()) {
-            return tooLong.get();
+        byte[] body;
+        try {
+            body = ResponseBodyReader.read(server, response, MAX_RESPONSE_BYTES);
+        } catch (UnusableBodyException e) {
+            return new AttemptResult.TruncatedResponse(server, e.refusal());
         }
         Map<String, String> headers = Map.of(
                 "content-type", response.header("content-type", "application/json"),
                 "x-request-id", response.header("x-request-id", ""),
                 "x-attempt", response.header("x-attempt", ""),
                 "x-server", response.header("x-server", server.name()));
-        return new AttemptResult.Answered(
-                server, new Answer(response.code(), headers, response.body().bytes()));
+        return new AttemptResult.Answered(server, new Answer(response.code(), headers, body));
     }
 
     private static StartResult.Failed failureResult(ServerId server, Call call, IOException cause) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
@@ -12,13 +12,18 @@
 import okhttp3.sse.EventSourceListener;
 import okhttp3.sse.EventSources;
 import org.ibissaddle.dispatch.AttemptResult;
+import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
-/** Guards against responses without end, which once filled the memory. */
+/**
+ * Guards against responses without end, which once filled the memory, and against truncated responses that are taken
+ * for complete ones.
+ */
 class StreamClientTest {
     private static final ServerId SERVER = new ServerId("endless");
     private static final long TIMEOUT_MS = 60_000;
@@ -37,6 +42,31 @@
                 call -> {});
     }
 
+    private AttemptResult fetch(Address server) {
+        return client.fetch(
+                        SERVER,
+                        StreamClient.postRequest(server, "/v1/completions", Map.of(), new byte[0]),
+                        TIMEOUT_MS,
+                        call -> {})
+                .evidence();
+    }
+
+    @ParameterizedTest
+    @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#truncated")
+    void shouldReportATruncatedResponse(String response, boolean reset) throws IOException {
+        try (SingleResponseServer server = new SingleResponseServer(response, reset)) {
+            assertThat(fetch(server.address())).isInstanceOf(AttemptResult.TruncatedResponse.class);
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#complete")
+    void shouldAcceptACompleteResponseThatEndsWithItsConnection(String response) throws IOException {
+        try (SingleResponseServer server = new SingleResponseServer(response, false)) {
+            assertThat(fetch(server.address())).isInstanceOf(AttemptResult.Answered.class);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "'HTTP/1.1 200 OK\r\nX-Filler: ', 'x'",
@@ -56,15 +86,10 @@
     @Test
     void shouldNotReadAResponseBodyThatNeverEnds() throws IOException {
         try (EndlessServer server = new EndlessServer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x")) {
-            StreamClient.StartResult.Failed result = client.fetch(
-                    SERVER,
-                    StreamClient.postRequest(server.address(), "/v1/completions", Map.of(), new byte[0]),
-                    TIMEOUT_MS,
-                    call -> {});
-
-            assertThat(result.evidence()).isInstanceOfSatisfying(AttemptResult.TruncatedResponse.class, truncated -> {
-                assertThat(truncated.refusal().toString()).contains("exceeds");
-            });
+            assertThat(fetch(server.address()))
+                    .isInstanceOfSatisfying(AttemptResult.TruncatedResponse.class, truncated -> {
+                        assertThat(truncated.refusal().toString()).contains("exceeds");
+                    });
         }
     }
 
--- /dev/null
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
@@ -0,0 +1,31 @@
+package org.ibissaddle.daemon.backend;
+
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.util.stream.Stream;
+import org.junit.jupiter.params.provider.Arguments;
+
+/** Responses whose connection ends before or after their last byte. */
+final class TruncatedResponses {
+    private static final String JSON = "HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\n";
+    private static final String TEXT = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+
+    private TruncatedResponses() {}
+
+    /** Returns responses that are incomplete, and whether their connection is reset. */
+    static Stream<Arguments> truncated() {
+        return Stream.of(
+                arguments(JSON + "\r\n{\"lot\":[1,2", false),
+                arguments(JSON + "\r\n", false),
+                arguments(JSON + "\r\n{\"lot\":7}", true),
+                arguments(JSON + "Content-Length: 30\r\n\r\n{\"lot\":7}", false),
+                arguments(JSON + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"lot\":7}\r\n", false),
+                arguments(TEXT + "\r\nlot 7", true),
+                arguments(TEXT + "Content-Length: 30\r\n\r\nlot 7", false));
+    }
+
+    /** Returns complete responses without a length. */
+    static Stream<String> complete() {
+        return Stream.of(JSON + "\r\n{\"lot\":7}", JSON + "\r\n{\"lot\":7}\r\n", TEXT + "\r\nlot 7");
+    }
+}
