--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -21,10 +21,13 @@
 final class FakeBackendServer implements AutoCloseable {
     /** A response that makes the server reset the connection. */
     static final String RESET = "";
+    /** A response that makes the server close all its connections and stop listening. */
+    static final String CRASH = "crash";
 
     private final ServerSocket listener;
     private final String id;
     private final Queue<Map<String, String>> arrivals = new ConcurrentLinkedQueue<>();
+    private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
     private volatile Function<Map<String, String>, String> responder;
     private final AtomicLong endlessBytes = new AtomicLong();
     private final AtomicLong endlessResponses = new AtomicLong();
@@ -94,10 +97,11 @@
         try {
             while (true) {
                 Socket socket = listener.accept();
+                connections.add(socket);
                 Thread.ofVirtual().start(() -> serve(socket));
             }
         } catch (SocketException e) {
-            arrivals.clear();
+            // Expected: the test closes the server, or it has crashed.
         } catch (IOException e) {
             throw new UncheckedIOException("fake server cannot accept connections", e);
         }
@@ -111,6 +115,10 @@
                 String answer = request.get("path").equals("/healthz")
                         ? response(request, "200 OK", "X-Instance-Id: " + id + "\r\n", "")
                         : record(request);
+                if (answer.equals(CRASH)) {
+                    crash();
+                    return;
+                }
                 if (answer.equals(RESET)) {
                     socket.setSoLinger(true, 0);
                     return;
@@ -132,6 +140,13 @@
         }
     }
 
+    private void crash() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
     private void sendWithoutEnd(Socket socket) throws IOException {
         byte[] tail = endlessTail.getBytes(StandardCharsets.ISO_8859_1);
         try {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
@@ -29,8 +29,21 @@
     static Gateway start(
             String region, Address caller, Address directory, Address peer, List<Address> seeds, Address store)
             throws IOException {
-        GatewaySettings settings = new GatewaySettings(
-                new InstanceId(region + "-1"),
+        GatewaySettings settings = settings(region + "-1", region, caller, directory, peer, seeds, store);
+        return Gateway.start(
+                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
+    }
+
+    static GatewaySettings settings(
+            String name,
+            String region,
+            Address caller,
+            Address directory,
+            Address peer,
+            List<Address> seeds,
+            Address store) {
+        return new GatewaySettings(
+                new InstanceId(name),
                 new Region(region),
                 new Zone(region + "-a"),
                 ZONES,
@@ -42,8 +55,6 @@
                 store,
                 seeds,
                 LIMITS);
-        return Gateway.start(
-                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
     }
 
     static Address freeAddress() throws IOException {
