Ignore servers of unknown zones when choosing a region

An entry whose zone the settings don't name ended the choice of a region with a NullPointerException, for each request with a prompt on a route with home regions, so that these requests failed until the entry was gone.

Such servers are no candidates now (BackendRegistryTest, red before). GatewayTest shows that an instance follows the list after odd entries of all reported kinds; it was green before.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
@@ -372,6 +372,7 @@
             }
         }
         candidates.removeIf(entry -> entry.draining()
+                || !regions.containsKey(entry.zone())
                 || evacuated.contains(entry.zone())
                 || !(allowed.isEmpty() || allowed.contains(regions.get(entry.zone()))));
         return candidates.stream()
--- a/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendRegistryTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/backend/BackendRegistryTest.java
@@ -65,6 +65,20 @@
                 OptionalLong.empty());
     }
 
+    /** Guards against an entry whose zone the settings don't name, on routes with home regions. */
+    @Test
+    void shouldPreferNoServerOfAnUnknownZone() {
+        publish("odd", ENGINES, new Zone("nowhere-a"), false, 0);
+        RequestDemand demand =
+                new RequestDemand("m", 30, 10, List.of(new PromptPart("a", 20), new PromptPart("b", 10)));
+
+        assertThat(backends.preferredRegion(ENGINES, demand, Set.of(new Region("north"))))
+                .isEmpty();
+        assertThat(backends.preferredRegion(ENGINES, demand, Set.of())).isEmpty();
+        publish("sound", ENGINES, LOCAL_ZONE, false, 0);
+        assertThat(backends.preferredRegion(ENGINES, demand, Set.of())).hasValue(new Region("north"));
+    }
+
     private ServerSelectionResult choose(String service, RequestDemand demand, long nowMs) {
         return backends.selectServer(service, demand, Set.of(), ColdRateShare.WHOLE, nowMs);
     }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -423,6 +423,30 @@
                     .startsWith("HTTP/1.1 503");
         }
 
+        /** Guards against an odd entry that ends the process or stops the watch of the list. */
+        @Test
+        void shouldFollowTheListOfServersAfterOddEntries() throws IOException {
+            platform.put("servers/odd1", "[".repeat(100_000));
+            platform.put("servers/odd2", ENTRY.formatted("127.0.0.1:99999", "ready"));
+            platform.put(
+                    "servers/odd3",
+                    ENTRY.formatted(second.address(), "ready")
+                            .replace("\"slots\":6", "\"slots\":" + "9".repeat(5_000)));
+            platform.put(
+                    "servers/odd4", ENTRY.formatted(second.address(), "ready").replace("north-a", "nowhere-a"));
+            platform.put("servers/o d d", "{}");
+            platform.put("servers/s1", ENTRY.formatted(first.address(), "draining"));
+            while (!call("GET", "/any/7", "", "").startsWith("HTTP/1.1 503")) {
+                Thread.onSpinWait();
+            }
+            platform.put("servers/s1", ENTRY.formatted(first.address(), "ready"));
+            while (!call("GET", "/any/7", "", "").startsWith("HTTP/1.1 200")) {
+                Thread.onSpinWait();
+            }
+
+            assertThat(second.arrivals()).isEmpty();
+        }
+
         @Test
         void shouldSendNothingMoreToADrainingServer() throws IOException {
             platform.put("servers/s1", ENTRY.formatted(first.address(), "draining"));
