Read the other entries of a fleet list with an odd one

A server without a pool or an instance without a control address passed the reader and ended the control loop's step later.

Each such entry is logged and left out. A list whose JSON itself can't be parsed, for example with nesting beyond 1,000 levels, is still rejected whole.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/peer/ControlPlane.java
@@ -63,7 +63,7 @@
         this.key = settings.deploymentKey();
         this.http = new ControlHttpClient(LocalAddressSocketFactory.from(settings.callerAddress()));
         this.peers = new PeerClient(http, key);
-        this.platform = new PlatformClient(http, settings.platform());
+        this.platform = new PlatformClient(http, settings.platform(), log);
         Incarnation incarnation = state.fleet().self().incarnation().orElseThrow();
         LocalInstance self = new LocalInstance(
                 settings.instance(),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/platform/PlatformClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/platform/PlatformClient.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.ibissaddle.daemon.log.EventLog;
 import org.ibissaddle.daemon.peer.ControlHttpClient;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InvalidIdentifierException;
 import org.ibissaddle.id.PoolId;
 import org.ibissaddle.id.Region;
+import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.membership.ControlLoopEvent;
 import org.ibissaddle.membership.FleetList;
@@ -30,6 +32,7 @@
 
     private final ControlHttpClient http;
     private final List<Address> addresses;
+    private final EventLog log;
     private final AtomicInteger addressIndex = new AtomicInteger();
 
     /**
@@ -37,9 +40,11 @@
      *
      * @param http HTTP client
      * @param addresses addresses of the configuration service, used in turn
+     * @param log log of the instance
      */
-    public PlatformClient(ControlHttpClient http, List<Address> addresses) {
+    public PlatformClient(ControlHttpClient http, List<Address> addresses, EventLog log) {
         this.http = http;
+        this.log = log;
         this.addresses = List.copyOf(addresses);
     }
 
@@ -83,7 +88,7 @@
             return response.status() == OK
                     ? new ControlLoopEvent.ListRead(parseInstanceList(response.body()))
                     : new ControlLoopEvent.ReadFailed(INSTANCE_LIST_NAME);
-        } catch (IOException | InvalidIdentifierException e) {
+        } catch (IOException e) {
             useNextAddress();
             return new ControlLoopEvent.ReadFailed(INSTANCE_LIST_NAME);
         }
@@ -102,11 +107,15 @@
         addressIndex.incrementAndGet();
     }
 
-    private static FleetList parseInstanceList(String body) throws IOException {
+    private FleetList parseInstanceList(String body) throws IOException {
         JsonNode json = JSON.readTree(body);
         List<ListEntry> entries = new ArrayList<>();
         for (JsonNode entry : json.path("entries")) {
-            entries.add(parseEntry(entry));
+            try {
+                entries.add(parseEntry(entry));
+            } catch (InvalidIdentifierException e) {
+                log.warning("list-entry-invalid", "name", entry.path("name").asText(), "reason", e.getMessage());
+            }
         }
         return new FleetList(json.path("revision").asLong(), entries);
     }
@@ -114,17 +123,15 @@
     private static ListEntry parseEntry(JsonNode json) {
         boolean isInstance = json.path("kind").asText().equals("instance");
         return new ListEntry(
-                json.path("name").asText(),
+                new ServerId(json.path("name").asText()).name(),
                 isInstance ? ListEntry.Kind.INSTANCE : ListEntry.Kind.SERVER,
-                optionalText(json, "pool").map(PoolId::new),
+                isInstance
+                        ? Optional.empty()
+                        : Optional.of(new PoolId(json.path("pool").asText())),
                 new Region(json.path("region").asText()),
                 new Zone(json.path("zone").asText()),
                 Address.parse(json.path("address").asText()),
-                optionalText(json, "control").map(Address::parse),
+                isInstance ? Optional.of(Address.parse(json.path("control").asText())) : Optional.empty(),
                 json.path("state").asText().equals("leaving"));
     }
-
-    private static Optional<String> optionalText(JsonNode json, String field) {
-        return Optional.ofNullable(json.path(field).textValue());
-    }
 }
