Don't take a refusal without a request id for that of the request

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that a server was running, or such a request ran at a second server.

A refusal that echoes another id was treated as a response to another request before, and bytes on an idle connection close it.

On a connection that has carried requests, a refusal must echo the id; else the request may have run, and the connection is closed. On a new connection there is no earlier refusal.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -192,6 +192,10 @@
             call.cancel();
             return rejectAndClose("response to another request");
         }
+        if ((notRun || status == MISDIRECTED) && echoed == null && call.isConnectionReused()) {
+            call.cancel();
+            return rejectAndClose("refusal without a request id, which may be that of an earlier request");
+        }
         if (status == MISDIRECTED) {
             server.ifPresent(core.healthChecker()::markSuspect);
             return Optional.of(new Rejection(ExecutionEvidence.NOT_RUN, true, "address is in use by another server"));
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -60,6 +60,7 @@
         headReceived = false;
         bytesBeforeHead = 0;
         call.attachChannel(channel);
+        call.setConnectionReused(pooled);
         if (!channel.isActive()) {
             failCall("connection closed before the request was sent");
             return;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
@@ -168,6 +168,7 @@
         private ByteBuf body;
         private Channel channel;
         private boolean done;
+        private boolean connectionReused;
 
         private Call(HttpRequest head, ByteBuf body, ResponseListener listener) {
             this.head = head;
@@ -197,6 +198,19 @@
             }
         }
 
+        /**
+         * Returns whether the connection has carried earlier requests.
+         *
+         * @return true if bytes of an earlier response may still arrive on it
+         */
+        public boolean isConnectionReused() {
+            return connectionReused;
+        }
+
+        void setConnectionReused(boolean reused) {
+            connectionReused = reused;
+        }
+
         boolean isDone() {
             return done;
         }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -58,6 +58,10 @@
         responder = next;
     }
 
+    Function<Map<String, String>, String> responder() {
+        return responder;
+    }
+
     /** Responds with exact bytes and ends the connection after each response, except those of health checks. */
     void respondAndEndConnection(Function<Map<String, String>, String> next, ConnectionEnd end) {
         connectionEnd = end;
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the request path of one instance against a fake platform store and fake backend servers. */
 class GatewayTest {
@@ -233,6 +235,49 @@
         }
     }
 
+    /** Guards against a refusal that a server has written once more, taken for the response to the next request. */
+    @Nested
+    class RepeatedRefusals {
+        private String request(String id) throws IOException {
+            return exchange(
+                    caller,
+                    "POST /once/7 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id
+                            + "\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx");
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: 6",
+                    "503 Service Unavailable\r\nX-Not-Executed: 1",
+                    "429 Too Many Requests\r\nX-Not-Executed: 1",
+                    "421 Misdirected Request\r\nX-Attempt-Id: 6",
+                    "421 Misdirected Request"
+                })
+        void shouldNotTakeTheRefusalOfAnEarlierRequestForAProof(String refusal) throws IOException {
+            addSecondServer();
+            String response = "HTTP/1.1 " + refusal + "\r\nContent-Length: 0\r\n\r\n";
+            first.respondWith(request -> request.get("x-attempt-id").equals("6")
+                    ? FakeBackendServer.response(request, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "")
+                    : response);
+            second.respondWith(first.responder());
+            request("6");
+            int before = arrivals();
+
+            assertThat(request("7")).startsWith("HTTP/1.1 502");
+            assertThat(arrivals()).isEqualTo(before + 1);
+        }
+
+        @Test
+        void shouldTakeTheRefusalOfTheRequestForAProof() throws IOException {
+            first.respondWith(request ->
+                    FakeBackendServer.response(request, "503 Service Unavailable", "X-Not-Executed: 1\r\n", ""));
+            request("6");
+
+            assertThat(request("7")).startsWith("HTTP/1.1 503").containsIgnoringCase("Retry-After");
+        }
+    }
+
     @Nested
     class Streams {
         private static final String HEAD = """
