Break off a started stream that no server can resume

Report of another operator: a stream had begun and broke off; the text of an error, at times its whole head, followed in the middle of the stream.

Here the head of a 502 was written into the started response when no other server was left to resume it, or a queued resume waited too long. Only the HTTP encoder's exception for a second head (`connection-failed ... unexpected message type`) kept it from the caller, and the log said `refused` for a response that had begun.

Each refusal now breaks a started response off. Retry-After of a refused prompt part is sent with 503 only.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -431,13 +431,6 @@
     }
 
     private void fail(String reason) {
-        if (relay.isStarted()) {
-            core.metrics().recordAbortedResponse(service);
-            core.log().notice("broken-off", "request", id, "reason", reason, "afterMs", elapsedMs());
-            finish("broken-off");
-            responseWriter.abort();
-            return;
-        }
         if (!mayHaveRun) {
             refuseUnavailable(reason);
             return;
@@ -454,7 +447,15 @@
         refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, reason);
     }
 
+    /** Sends an error response, or breaks off a response that has started. */
     private void refuse(HttpResponseStatus status, String reason) {
+        if (relay != null && relay.isStarted()) {
+            core.metrics().recordAbortedResponse(service);
+            core.log().notice("broken-off", "request", id, "reason", reason, "afterMs", elapsedMs());
+            finish("broken-off");
+            responseWriter.abort();
+            return;
+        }
         core.metrics().recordRefusal(service, status.code());
         core.log()
                 .notice(
@@ -475,7 +476,9 @@
                         core.configurationVersion());
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun);
-        refusedPart.ifPresent(refused -> headers.set("Retry-After", retryAfterSeconds(refused)));
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            refusedPart.ifPresent(refused -> headers.set("Retry-After", retryAfterSeconds(refused)));
+        }
         ErrorResponses.send(responseWriter, status, reason, headers);
     }
 
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TruncatedResponseTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TruncatedResponseTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.ibissaddle.daemon.gateway.FakeBackendServer.ConnectionEnd;
@@ -297,6 +300,61 @@
         }
     }
 
+    /** Guards against the head of an error in the middle of a stream that no other server can resume. */
+    @Nested
+    class FromTheOnlyServer {
+        private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+        private Gateway gateway;
+        private Address caller;
+
+        @BeforeEach
+        void start() throws IOException {
+            publish(first, "s1", "north");
+            caller = GatewayFixture.freeAddress();
+            GatewaySettings settings = GatewayFixture.settings(
+                    "north-1",
+                    "north",
+                    caller,
+                    GatewayFixture.freeAddress(),
+                    GatewayFixture.freeAddress(),
+                    List.of(),
+                    platform.address());
+            gateway = Gateway.start(settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), log);
+            while (!call("/any/7").startsWith("HTTP/1.1 200")) {
+                Thread.onSpinWait();
+            }
+            first.arrivals().clear();
+        }
+
+        @AfterEach
+        void stop() {
+            gateway.close();
+        }
+
+        private String call(String path) throws IOException {
+            return GatewayFixture.call(caller, "GET", path, "", "");
+        }
+
+        @ParameterizedTest
+        @EnumSource(
+                value = ConnectionEnd.class,
+                names = {"CLOSED", "RESET"})
+        void shouldBreakOffAStreamThatNoServerCanResume(ConnectionEnd end) throws IOException {
+            respondInTurn(request -> STREAM_HEAD + "\r\nid: 1\ndata: 1\n\nid: 2", request -> "", end);
+
+            assertThat(call("/resumed/7"))
+                    .contains("id: 1")
+                    .containsOnlyOnce("HTTP/1.1")
+                    .doesNotContain("error")
+                    .doesNotContain(LAST_CHUNK);
+            gateway.close();
+            assertThat(log.toString(StandardCharsets.UTF_8))
+                    .contains("event=broken-off instance=north-1 request=7")
+                    .doesNotContain("event=refused")
+                    .doesNotContain("event=connection-failed");
+        }
+    }
+
     @Nested
     class FromAnotherInstance {
         private Gateway north;
