Require the request id in refusals on reused connections

Report of another operator, on the own interface: a backend server writes an earlier refusal once more on a kept connection. OkHttp takes such bytes for the response to the next request, so a model call or a repeatable service call counted as not run while the server ran it, and the caller could be told so.

On a connection that has carried other requests, a refusal must now name the request; else the attempt counts as lost after the request was written, and the connection is closed. Calls that run at most once use a new connection each and were not affected; refusals of other instances are exempt, as they carry no id and are sent once.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -67,6 +67,7 @@
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .addNetworkInterceptor(StreamClient::sendOnce)
+                .addNetworkInterceptor(new RefusalOriginCheck())
                 .build();
         streamingClient = nonStreamingClient
                 .newBuilder()
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/ServiceClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/ServiceClientTest.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import javax.net.SocketFactory;
+import org.ibissaddle.daemon.backend.SingleResponseServer.ConnectionEnd;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses without end and against truncated responses that are taken for complete ones. */
 class ServiceClientTest {
@@ -23,8 +25,25 @@
 
     private static AttemptResult send(Address server) {
         try (ServiceClient client = ServiceClient.pooled(SocketFactory.getDefault())) {
-            ServiceRequest request = new ServiceRequest("GET", "/stock/7", Map.of(), new byte[0]);
-            return client.send(new ServerId("fake"), server, request, Optional::empty, TIMEOUT_MS);
+            return send(client, server, "r1");
+        }
+    }
+
+    private static AttemptResult send(ServiceClient client, Address server, String requestId) {
+        ServiceRequest request = new ServiceRequest("GET", "/stock/7", Map.of("X-Request-Id", requestId), new byte[0]);
+        return client.send(new ServerId("fake"), server, request, Optional::empty, TIMEOUT_MS);
+    }
+
+    /** Guards against the refusal of an earlier request that a server writes once more on a kept connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Request-Id: r1\r\n", ""})
+    void shouldNotTakeTheRefusalOfAnEarlierRequestForAProof(String requestId) throws IOException {
+        String refusal =
+                "HTTP/1.1 503 Service Unavailable\r\nX-Ran: not-run\r\n" + requestId + "Content-Length: 0\r\n\r\n";
+        try (SingleResponseServer server = new SingleResponseServer(refusal, ConnectionEnd.KEPT);
+                ServiceClient client = ServiceClient.pooled(SocketFactory.getDefault())) {
+            assertThat(send(client, server.address(), "r1")).isInstanceOf(AttemptResult.ReportedNotRun.class);
+            assertThat(send(client, server.address(), "r2")).isInstanceOf(AttemptResult.LostAfterWrite.class);
         }
     }
 
@@ -52,8 +71,8 @@
 
     @ParameterizedTest
     @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#truncated")
-    void shouldReportATruncatedResponse(String response, boolean reset) throws IOException {
-        try (SingleResponseServer server = new SingleResponseServer(response, reset)) {
+    void shouldReportATruncatedResponse(String response, ConnectionEnd end) throws IOException {
+        try (SingleResponseServer server = new SingleResponseServer(response, end)) {
             assertThat(send(server.address())).isInstanceOf(AttemptResult.TruncatedResponse.class);
         }
     }
@@ -61,7 +80,7 @@
     @ParameterizedTest
     @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#complete")
     void shouldAcceptACompleteResponseThatEndsWithItsConnection(String response) throws IOException {
-        try (SingleResponseServer server = new SingleResponseServer(response, false)) {
+        try (SingleResponseServer server = new SingleResponseServer(response, ConnectionEnd.CLOSED)) {
             assertThat(send(server.address())).isInstanceOf(AttemptResult.Answered.class);
         }
     }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/SingleResponseServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/SingleResponseServer.java
@@ -9,15 +9,22 @@
 import java.nio.charset.StandardCharsets;
 import org.ibissaddle.id.Address;
 
-/** A server that answers each request without a body with the same bytes and then closes or resets the connection. */
+/** A server that answers each request without a body with the same bytes, and then keeps or ends the connection. */
 final class SingleResponseServer implements AutoCloseable {
     private final ServerSocket listener;
     private final String response;
-    private final boolean reset;
+    private final ConnectionEnd end;
 
-    SingleResponseServer(String response, boolean reset) throws IOException {
+    /** What happens to the connection after a response. */
+    enum ConnectionEnd {
+        KEPT,
+        CLOSED,
+        RESET
+    }
+
+    SingleResponseServer(String response, ConnectionEnd end) throws IOException {
         this.response = response;
-        this.reset = reset;
+        this.end = end;
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::acceptConnections);
     }
@@ -36,9 +43,16 @@
             try (Socket socket = listener.accept()) {
                 BufferedReader in =
                         new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {}
-                socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
-                socket.setSoLinger(reset, 0);
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    if (!line.isEmpty()) {
+                        continue;
+                    }
+                    socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+                    if (end != ConnectionEnd.KEPT) {
+                        break;
+                    }
+                }
+                socket.setSoLinger(end == ConnectionEnd.RESET, 0);
             } catch (IOException e) {
                 // Expected: the test closes the server.
             }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
@@ -11,6 +11,7 @@
 import okhttp3.sse.EventSource;
 import okhttp3.sse.EventSourceListener;
 import okhttp3.sse.EventSources;
+import org.ibissaddle.daemon.backend.SingleResponseServer.ConnectionEnd;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against responses without end, which once filled the memory, and against truncated responses that are taken
@@ -43,9 +45,14 @@
     }
 
     private AttemptResult fetch(Address server) {
+        return fetch(server, "r1");
+    }
+
+    private AttemptResult fetch(Address server, String requestId) {
         return client.fetch(
                         SERVER,
-                        StreamClient.postRequest(server, "/v1/completions", Map.of(), new byte[0]),
+                        StreamClient.postRequest(
+                                server, "/v1/completions", Map.of("X-Request-Id", requestId), new byte[0]),
                         TIMEOUT_MS,
                         call -> {})
                 .evidence();
@@ -53,8 +60,8 @@
 
     @ParameterizedTest
     @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#truncated")
-    void shouldReportATruncatedResponse(String response, boolean reset) throws IOException {
-        try (SingleResponseServer server = new SingleResponseServer(response, reset)) {
+    void shouldReportATruncatedResponse(String response, ConnectionEnd end) throws IOException {
+        try (SingleResponseServer server = new SingleResponseServer(response, end)) {
             assertThat(fetch(server.address())).isInstanceOf(AttemptResult.TruncatedResponse.class);
         }
     }
@@ -62,7 +69,7 @@
     @ParameterizedTest
     @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#complete")
     void shouldAcceptACompleteResponseThatEndsWithItsConnection(String response) throws IOException {
-        try (SingleResponseServer server = new SingleResponseServer(response, false)) {
+        try (SingleResponseServer server = new SingleResponseServer(response, ConnectionEnd.CLOSED)) {
             assertThat(fetch(server.address())).isInstanceOf(AttemptResult.Answered.class);
         }
     }
@@ -119,6 +126,18 @@
         }
     }
 
+    /** Guards against the refusal of an earlier request that a server writes once more on a kept connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Request-Id: r1\r\n", ""})
+    void shouldNotTakeTheRefusalOfAnEarlierRequestForAProof(String requestId) throws IOException {
+        String refusal =
+                "HTTP/1.1 503 Service Unavailable\r\nX-Ran: not-run\r\n" + requestId + "Content-Length: 0\r\n\r\n";
+        try (SingleResponseServer server = new SingleResponseServer(refusal, ConnectionEnd.KEPT)) {
+            assertThat(fetch(server.address(), "r1")).isInstanceOf(AttemptResult.ReportedNotRun.class);
+            assertThat(fetch(server.address(), "r2")).isInstanceOf(AttemptResult.LostAfterWrite.class);
+        }
+    }
+
     private static String unescape(String text) {
         return text.replace("\\r", "\r").replace("\\n", "\n");
     }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
@@ -1,5 +1,7 @@
 package org.ibissaddle.daemon.backend;
 
+import static org.ibissaddle.daemon.backend.SingleResponseServer.ConnectionEnd.CLOSED;
+import static org.ibissaddle.daemon.backend.SingleResponseServer.ConnectionEnd.RESET;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import java.util.stream.Stream;
@@ -12,16 +14,16 @@
 
     private TruncatedResponses() {}
 
-    /** Returns responses that are incomplete, and whether their connection is reset. */
+    /** Returns responses that are incomplete, and how their connection ends. */
     static Stream<Arguments> truncated() {
         return Stream.of(
-                arguments(JSON + "\r\n{\"lot\":[1,2", false),
-                arguments(JSON + "\r\n", false),
-                arguments(JSON + "\r\n{\"lot\":7}", true),
-                arguments(JSON + "Content-Length: 30\r\n\r\n{\"lot\":7}", false),
-                arguments(JSON + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"lot\":7}\r\n", false),
-                arguments(TEXT + "\r\nlot 7", true),
-                arguments(TEXT + "Content-Length: 30\r\n\r\nlot 7", false));
+                arguments(JSON + "\r\n{\"lot\":[1,2", CLOSED),
+                arguments(JSON + "\r\n", CLOSED),
+                arguments(JSON + "\r\n{\"lot\":7}", RESET),
+                arguments(JSON + "Content-Length: 30\r\n\r\n{\"lot\":7}", CLOSED),
+                arguments(JSON + "Transfer-Encoding: chunked\r\n\r\n9\r\n{\"lot\":7}\r\n", CLOSED),
+                arguments(TEXT + "\r\nlot 7", RESET),
+                arguments(TEXT + "Content-Length: 30\r\n\r\nlot 7", CLOSED));
     }
 
     /** Returns complete responses without a length. */
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/HttpStandin.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.ibissaddle.standins.internal.http.ExchangeHandler;
 import org.ibissaddle.standins.internal.http.HttpExchange;
+import org.ibissaddle.standins.internal.http.Reply;
 import org.ibissaddle.standins.internal.http.RequestRejectedException;
 
 /** Base class of the stand-ins: an HTTP/1.1 server on the loopback interface with state confined to one event loop. */
@@ -162,11 +163,18 @@
         }
     }
 
+    /** Returns a reply that names the request, if the request has an id. */
+    static Reply withRequestId(HttpExchange exchange, Reply reply) {
+        return exchange.header("X-Request-Id")
+                .map(id -> reply.withHeader("X-Request-Id", id))
+                .orElse(reply);
+    }
+
     private void dispatch(HttpExchange exchange) {
         try {
             handle(exchange);
         } catch (RequestRejectedException e) {
-            exchange.reply(e.toReply());
+            exchange.reply(withRequestId(exchange, e.toReply()));
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log("event=handler-failed standin=%s path=%s", name, exchange.path());
             exchange.reset();
--- a/ibissaddle-standins/src/main/java/org/ibissaddle/standins/ServiceStandin.java
+++ b/ibissaddle-standins/src/main/java/org/ibissaddle/standins/ServiceStandin.java
@@ -103,12 +103,6 @@
         return Reply.json(200, new Answer(name(), key, arrival, exchange.body().length));
     }
 
-    private static Reply withRequestId(HttpExchange exchange, Reply reply) {
-        return exchange.header("X-Request-Id")
-                .map(id -> reply.withHeader("X-Request-Id", id))
-                .orElse(reply);
-    }
-
     private record Answer(String service, String key, int arrival, int echoBytes) {}
 
     private record Load(String server, long incarnation, long atMs, int running, int queued, boolean draining) {}
