Send new marks of prompt parts for four rounds only

The marks of the last 15 s, all marks of refused parts and each contested proof went with every message between instances; a part that all prompts share would have stayed contested for good.

A mark or proof is sent for 2 s after an instance has learned it, and three marks of each refused part every 2 s, which suffice for an instance that has just started.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartQuarantine.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartQuarantine.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,18 +31,25 @@
     private static final long PROOF_VALIDITY_MS = 30_000;
     /** Time from the latest crash of a refused part to the first probe, milliseconds; doubled for each later one. */
     private static final long PROBE_DELAY_MS = 30_000;
-    /** Time for which marks of parts that are not refused are sent to other instances, milliseconds. */
-    private static final long SHARED_MARK_AGE_MS = 15_000;
+    /** Time for which a new mark or proof is sent to other instances, milliseconds: four rounds of messages. */
+    private static final long NEWS_MS = 2_000;
+    /** Interval in which the refused parts are sent to instances that may have missed them, milliseconds. */
+    private static final long REFUSED_PARTS_INTERVAL_MS = 2_000;
+    /** Part of that interval in which they are sent, milliseconds: one round of messages. */
+    private static final long REFUSED_PARTS_WINDOW_MS = 500;
 
     private static final int MAX_PROBE_DOUBLINGS = 8;
     private static final int MAX_SUSPECTS = 512;
     private static final int MAX_PROOFS = 4_096;
-    private static final int MAX_CONTESTED_PROOFS = 128;
+    private static final int MAX_CONTESTS = 128;
     private static final int MAX_SHARED_MARKS = 128;
 
     private final Map<String, PromptPartSuspect> suspects = new HashMap<>();
     private final Map<String, Long> proofTimesMs = new BoundedMap<>(MAX_PROOFS);
-    private final Map<String, Set<Region>> contestedProofs = new BoundedMap<>(MAX_CONTESTED_PROOFS);
+    private final Map<String, Contest> contests = new BoundedMap<>(MAX_CONTESTS);
+
+    /** A part that the local instance has seen complete and that an instance has marked. */
+    private record Contest(Set<Region> homes, long sinceMs) {}
 
     /**
      * Marks the parts of a request that was in flight at a crash.
@@ -70,7 +78,7 @@
             proofTimesMs.put(part, nowMs);
             PromptPartSuspect cleared = suspects.remove(part);
             if (cleared != null) {
-                contestedProofs.put(part, cleared.homes());
+                contests.put(part, new Contest(cleared.homes(), nowMs));
                 marked = true;
             }
         }
@@ -142,8 +150,8 @@
     }
 
     /**
-     * Returns what to send to another instance: the marks of refused parts, recent marks of other parts, and the local
-     * proofs for parts that an instance has marked.
+     * Returns what to send to another instance: new marks, the local proofs for parts that an instance has marked, and
+     * from time to time the marks that suffice to refuse the refused parts.
      *
      * @param recipient region of the recipient, empty if unknown
      * @param nowMs current time, milliseconds
@@ -151,8 +159,8 @@
      */
     public PromptPartUpdate updateFor(Optional<Region> recipient, long nowMs) {
         suspects.values().removeIf(suspect -> isExpired(suspect, nowMs));
-        contestedProofs.keySet().removeIf(part -> !isProven(part, nowMs));
-        if (suspects.isEmpty() && contestedProofs.isEmpty()) {
+        contests.values().removeIf(contest -> nowMs - contest.sinceMs() >= NEWS_MS);
+        if (suspects.isEmpty() && contests.isEmpty()) {
             return PromptPartUpdate.NONE;
         }
         List<PromptPartUpdate.Mark> marks = new ArrayList<>();
@@ -165,32 +173,33 @@
                         -suspects.get(mark.part()).crashes())
                 .thenComparingLong(PromptPartUpdate.Mark::ageMs));
         List<PromptPartUpdate.Proof> proofs = new ArrayList<>();
-        contestedProofs.forEach((part, homes) -> {
-            if (isAllowed(homes, recipient)) {
-                proofs.add(new PromptPartUpdate.Proof(part, homes, nowMs - proofTimesMs.get(part)));
+        contests.forEach((part, contest) -> {
+            if (isAllowed(contest.homes(), recipient) && isProven(part, nowMs)) {
+                proofs.add(new PromptPartUpdate.Proof(part, contest.homes(), nowMs - proofTimesMs.get(part)));
             }
         });
         return new PromptPartUpdate(marks.subList(0, Math.min(MAX_SHARED_MARKS, marks.size())), proofs);
     }
 
     private void addMarks(String part, PromptPartSuspect suspect, long nowMs, Collection<PromptPartUpdate.Mark> marks) {
-        boolean refused = isRefused(suspect, nowMs);
-        suspect.crashTimesMs().forEach((crash, atMs) -> {
-            if (refused || nowMs - atMs <= SHARED_MARK_AGE_MS) {
-                marks.add(new PromptPartUpdate.Mark(part, crash, suspect.homes(), nowMs - atMs));
-            }
-        });
+        Set<Crash> shared = new HashSet<>(suspect.crashesLearnedAfter(nowMs - NEWS_MS));
+        if (nowMs % REFUSED_PARTS_INTERVAL_MS < REFUSED_PARTS_WINDOW_MS && isRefused(suspect, nowMs)) {
+            shared.addAll(suspect.independentCrashes().subList(0, MAX_CRASHES));
+        }
+        for (Crash crash : shared) {
+            marks.add(new PromptPartUpdate.Mark(part, crash, suspect.homes(), nowMs - suspect.timeMs(crash)));
+        }
     }
 
     private void mark(String part, Crash crash, Set<Region> homes, long atMs, long nowMs) {
         if (isProven(part, nowMs)) {
-            contestedProofs.put(part, homes);
+            contests.put(part, new Contest(homes, nowMs));
             return;
         }
         if (nowMs - atMs >= RETENTION_MS) {
             return;
         }
-        suspects.computeIfAbsent(part, id -> new PromptPartSuspect(homes)).addCrash(crash, atMs);
+        suspects.computeIfAbsent(part, id -> new PromptPartSuspect(homes)).addCrash(crash, atMs, nowMs);
         if (suspects.size() > MAX_SUSPECTS) {
             suspects.values()
                     .remove(suspects.values().stream()
@@ -207,7 +216,7 @@
 
     private boolean isRefused(PromptPartSuspect suspect, long nowMs) {
         return suspect.crashes() >= MAX_CRASHES
-                && suspect.independentCrashes() >= MAX_CRASHES
+                && suspect.independentCrashes().size() >= MAX_CRASHES
                 && !isExpired(suspect, nowMs)
                 && suspects.values().stream().noneMatch(suspect::isExplainedBy);
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartSuspect.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartSuspect.java
@@ -1,6 +1,9 @@
 package org.ibissaddle.quarantine;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.ibissaddle.id.Region;
@@ -13,9 +16,11 @@
     private static final long MIN_CRASH_GAP_MS = 200;
 
     private final Set<Region> homes;
-    private final Map<Crash, Long> crashTimesMs = new HashMap<>();
+    private final Map<Crash, Times> crashes = new HashMap<>();
     private int probes;
 
+    private record Times(long crashMs, long learnedMs) {}
+
     PromptPartSuspect(Set<Region> homes) {
         this.homes = homes;
     }
@@ -24,12 +29,8 @@
         return homes;
     }
 
-    Map<Crash, Long> crashTimesMs() {
-        return crashTimesMs;
-    }
-
     int crashes() {
-        return crashTimesMs.size();
+        return crashes.size();
     }
 
     /** Number of probes sent by the local instance. */
@@ -41,35 +42,49 @@
         probes++;
     }
 
-    void addCrash(Crash crash, long atMs) {
-        if (crashTimesMs.size() < MAX_CRASHES || crashTimesMs.containsKey(crash)) {
-            crashTimesMs.merge(crash, atMs, Math::min);
+    void addCrash(Crash crash, long crashMs, long nowMs) {
+        Times known = crashes.get(crash);
+        if (known == null && crashes.size() < MAX_CRASHES) {
+            crashes.put(crash, new Times(crashMs, nowMs));
+        } else if (known != null && crashMs < known.crashMs()) {
+            crashes.put(crash, new Times(crashMs, known.learnedMs()));
         }
     }
 
     void removeCrashesUntil(long timeMs) {
-        crashTimesMs.values().removeIf(atMs -> atMs <= timeMs);
+        crashes.values().removeIf(times -> times.crashMs() <= timeMs);
+    }
+
+    long timeMs(Crash crash) {
+        return crashes.get(crash).crashMs();
     }
 
     long latestMs() {
-        return crashTimesMs.values().stream().mapToLong(Long::longValue).max().orElse(Long.MIN_VALUE);
+        return crashes.values().stream().mapToLong(Times::crashMs).max().orElse(Long.MIN_VALUE);
+    }
+
+    List<Crash> crashesLearnedAfter(long timeMs) {
+        return crashes.entrySet().stream()
+                .filter(entry -> entry.getValue().learnedMs() > timeMs)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
-    /** Number of crashes that don't have a common cause with an earlier one. */
-    int independentCrashes() {
-        int count = 0;
-        long countedMs = 0;
-        for (long atMs : crashTimesMs.values().stream().sorted().toList()) {
-            if (count == 0 || atMs - countedMs >= MIN_CRASH_GAP_MS) {
-                count++;
-                countedMs = atMs;
+    /** Returns the crashes that don't have a common cause with an earlier one, in order of time. */
+    List<Crash> independentCrashes() {
+        List<Crash> inOrder = new ArrayList<>(crashes.keySet());
+        inOrder.sort(Comparator.comparingLong(this::timeMs));
+        List<Crash> independent = new ArrayList<>();
+        for (Crash crash : inOrder) {
+            if (independent.isEmpty() || timeMs(crash) - timeMs(independent.getLast()) >= MIN_CRASH_GAP_MS) {
+                independent.add(crash);
             }
         }
-        return count;
+        return independent;
     }
 
     /** Whether another part was in flight at all crashes of this one and at more besides. */
     boolean isExplainedBy(PromptPartSuspect other) {
-        return other.crashes() > crashes() && other.crashTimesMs.keySet().containsAll(crashTimesMs.keySet());
+        return other.crashes() > crashes() && other.crashes.keySet().containsAll(crashes.keySet());
     }
 }
