--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayTest.java
@@ -1,22 +1,17 @@
 package org.ibissaddle.daemon.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.ibissaddle.daemon.gateway.GatewayFixture.exchange;
+import static org.ibissaddle.daemon.gateway.GatewayFixture.freeAddress;
+import static org.ibissaddle.daemon.gateway.GatewayFixture.readAll;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
-import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.ibissaddle.id.Address;
-import org.ibissaddle.id.InstanceId;
-import org.ibissaddle.id.Region;
-import org.ibissaddle.id.Zone;
-import org.ibissaddle.standins.Ports;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -73,52 +68,11 @@
 
     private static Gateway startNorth(Address caller, Address directory, FakePlatformStore platform)
             throws IOException {
-        GatewaySettings settings = new GatewaySettings(
-                new InstanceId("north-1"),
-                new Region("north"),
-                new Zone("north-a"),
-                Map.of(new Zone("north-a"), new Region("north")),
-                caller,
-                directory,
-                directory,
-                freeAddress(),
-                0,
-                platform.address(),
-                List.of(),
-                new GatewaySettings.PlatformLimits(0.2, 10_000, 1_000, 4_000, 5));
-        return Gateway.start(
-                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
-    }
-
-    private static Address freeAddress() throws IOException {
-        return new Address("127.0.0.1", Ports.allocate("127.0.0.1"));
-    }
-
-    private static String exchange(Address to, String request) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), to.port())) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            return readAll(socket.getInputStream());
-        }
-    }
-
-    private static String readAll(InputStream in) throws IOException {
-        StringBuilder text = new StringBuilder();
-        try {
-            for (int next = in.read(); next >= 0; next = in.read()) {
-                text.append((char) next);
-            }
-        } catch (SocketException e) {
-            return text + "(reset)";
-        }
-        return text.toString();
+        return GatewayFixture.start("north", caller, directory, freeAddress(), List.of(), platform.address());
     }
 
     private String call(String method, String path, String headers, String body) throws IOException {
-        return exchange(
-                caller,
-                method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n"
-                        + headers + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n"
-                        + body);
+        return GatewayFixture.call(caller, method, path, headers, body);
     }
 
     /** Adds the second server and waits until both servers receive requests, so that a retry finds the other one. */
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TwoRegionsTest.java
@@ -1,20 +1,11 @@
 package org.ibissaddle.daemon.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.ibissaddle.daemon.gateway.GatewayFixture.freeAddress;
 
 import java.io.IOException;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.ibissaddle.id.Address;
-import org.ibissaddle.id.InstanceId;
-import org.ibissaddle.id.Region;
-import org.ibissaddle.id.Zone;
-import org.ibissaddle.standins.Ports;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -59,34 +50,11 @@
     }
 
     private Gateway start(String region, Address callers, Address peer, Address seed) throws IOException {
-        Address management = freeAddress();
-        GatewaySettings settings = new GatewaySettings(
-                new InstanceId(region + "-1"),
-                new Region(region),
-                new Zone(region + "-a"),
-                Map.of(new Zone("north-a"), new Region("north"), new Zone("south-a"), new Region("south")),
-                callers,
-                management,
-                management,
-                peer,
-                0,
-                platform.address(),
-                List.of(seed),
-                new GatewaySettings.PlatformLimits(0.2, 10_000, 1_000, 1_000, 5));
-        return Gateway.start(
-                settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
-    }
-
-    private static Address freeAddress() throws IOException {
-        return new Address("127.0.0.1", Ports.allocate("127.0.0.1"));
+        return GatewayFixture.start(region, callers, freeAddress(), peer, List.of(seed), platform.address());
     }
 
     private String call(String path) throws IOException {
-        String request = "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\nConnection: close\r\n\r\n";
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), caller.port())) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
+        return GatewayFixture.call(caller, "GET", path, "", "");
     }
 
     private void callUntil(String path, String answer) throws IOException {
