Keep each crash of a bound prompt part in its home regions

A part that was seen in unbound content first would have been mentioned everywhere with its later crashes in bound content; found by reading. Each crash is now shared by the homes of its own content, and a proof by those of any (PromptPartQuarantineTest .shouldMentionOnlyTheUnboundCrashesOfAPartElsewhere).

Also found by reading: a probe that had to wait for a free server was refused by its own check, which is now made on arrival and before each repeat only; a negative clock would have sent the marks of refused parts all the time.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartQuarantine.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartQuarantine.java
@@ -164,11 +164,7 @@
             return PromptPartUpdate.NONE;
         }
         List<PromptPartUpdate.Mark> marks = new ArrayList<>();
-        suspects.forEach((part, suspect) -> {
-            if (isAllowed(suspect.homes(), recipient)) {
-                addMarks(part, suspect, nowMs, marks);
-            }
-        });
+        suspects.forEach((part, suspect) -> addMarks(part, suspect, recipient, nowMs, marks));
         marks.sort(Comparator.comparingInt((PromptPartUpdate.Mark mark) ->
                         -suspects.get(mark.part()).crashes())
                 .thenComparingLong(PromptPartUpdate.Mark::ageMs));
@@ -181,13 +177,21 @@
         return new PromptPartUpdate(marks.subList(0, Math.min(MAX_SHARED_MARKS, marks.size())), proofs);
     }
 
-    private void addMarks(String part, PromptPartSuspect suspect, long nowMs, Collection<PromptPartUpdate.Mark> marks) {
+    private void addMarks(
+            String part,
+            PromptPartSuspect suspect,
+            Optional<Region> recipient,
+            long nowMs,
+            Collection<PromptPartUpdate.Mark> marks) {
         Set<Crash> shared = new HashSet<>(suspect.crashesLearnedAfter(nowMs - NEWS_MS));
-        if (nowMs % REFUSED_PARTS_INTERVAL_MS < REFUSED_PARTS_WINDOW_MS && isRefused(suspect, nowMs)) {
+        if (Math.floorMod(nowMs, REFUSED_PARTS_INTERVAL_MS) < REFUSED_PARTS_WINDOW_MS && isRefused(suspect, nowMs)) {
             shared.addAll(suspect.independentCrashes().subList(0, MAX_CRASHES));
         }
         for (Crash crash : shared) {
-            marks.add(new PromptPartUpdate.Mark(part, crash, suspect.homes(), nowMs - suspect.timeMs(crash)));
+            Set<Region> homes = suspect.homes(crash);
+            if (isAllowed(homes, recipient)) {
+                marks.add(new PromptPartUpdate.Mark(part, crash, homes, nowMs - suspect.timeMs(crash)));
+            }
         }
     }
 
@@ -199,7 +203,7 @@
         if (nowMs - atMs >= RETENTION_MS) {
             return;
         }
-        suspects.computeIfAbsent(part, id -> new PromptPartSuspect(homes)).addCrash(crash, atMs, nowMs);
+        suspects.computeIfAbsent(part, id -> new PromptPartSuspect()).addCrash(crash, homes, atMs, nowMs);
         if (suspects.size() > MAX_SUSPECTS) {
             suspects.values()
                     .remove(suspects.values().stream()
--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartSuspect.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/PromptPartSuspect.java
@@ -15,18 +15,23 @@
     /** Crashes that are closer together count as one, because one cause often ends several servers, milliseconds. */
     private static final long MIN_CRASH_GAP_MS = 200;
 
-    private final Set<Region> homes;
-    private final Map<Crash, Times> crashes = new HashMap<>();
+    private final Map<Crash, Observation> crashes = new HashMap<>();
     private int probes;
 
-    private record Times(long crashMs, long learnedMs) {}
+    private record Observation(Set<Region> homes, long crashMs, long learnedMs) {}
 
-    PromptPartSuspect(Set<Region> homes) {
-        this.homes = homes;
+    /** Returns the regions that the content in flight at a crash is bound to, empty if it is unbound. */
+    Set<Region> homes(Crash crash) {
+        return crashes.get(crash).homes();
     }
 
+    /** Returns the regions of the first crash with bound content, empty if there is none. */
     Set<Region> homes() {
-        return homes;
+        return crashes.values().stream()
+                .map(Observation::homes)
+                .filter(homes -> !homes.isEmpty())
+                .findFirst()
+                .orElse(Set.of());
     }
 
     int crashes() {
@@ -42,17 +47,18 @@
         probes++;
     }
 
-    void addCrash(Crash crash, long crashMs, long nowMs) {
-        Times known = crashes.get(crash);
+    void addCrash(Crash crash, Set<Region> homes, long crashMs, long nowMs) {
+        Observation known = crashes.get(crash);
         if (known == null && crashes.size() < MAX_CRASHES) {
-            crashes.put(crash, new Times(crashMs, nowMs));
-        } else if (known != null && crashMs < known.crashMs()) {
-            crashes.put(crash, new Times(crashMs, known.learnedMs()));
+            crashes.put(crash, new Observation(homes, crashMs, nowMs));
+        } else if (known != null) {
+            Set<Region> bound = known.homes().isEmpty() ? homes : known.homes();
+            crashes.put(crash, new Observation(bound, Math.min(crashMs, known.crashMs()), known.learnedMs()));
         }
     }
 
     void removeCrashesUntil(long timeMs) {
-        crashes.values().removeIf(times -> times.crashMs() <= timeMs);
+        crashes.values().removeIf(observation -> observation.crashMs() <= timeMs);
     }
 
     long timeMs(Crash crash) {
@@ -60,7 +66,7 @@
     }
 
     long latestMs() {
-        return crashes.values().stream().mapToLong(Times::crashMs).max().orElse(Long.MIN_VALUE);
+        return crashes.values().stream().mapToLong(Observation::crashMs).max().orElse(Long.MIN_VALUE);
     }
 
     List<Crash> crashesLearnedAfter(long timeMs) {
--- a/ibissaddle-core/src/test/java/org/ibissaddle/quarantine/PromptPartQuarantineTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/quarantine/PromptPartQuarantineTest.java
@@ -204,6 +204,18 @@
             assertThat(quarantine.updateFor(Optional.empty(), 60_500).marks()).isEmpty();
         }
 
+        /** Guards against a part of bound content that was seen in unbound content first. */
+        @Test
+        void shouldMentionOnlyTheUnboundCrashesOfAPartElsewhere() {
+            quarantine.recordCrash(crash(1), List.of(BAD), Set.of(), 1_000);
+            quarantine.recordCrash(crash(2), List.of(BAD), Set.of(HOME), 1_300);
+            assertThat(quarantine.updateFor(Optional.of(AWAY), 1_500).marks())
+                    .extracting(PromptPartUpdate.Mark::crash)
+                    .containsExactly(crash(1));
+            quarantine.recordCompletion(List.of(BAD), 1_600);
+            assertThat(quarantine.updateFor(Optional.of(AWAY), 1_700)).isEqualTo(PromptPartUpdate.NONE);
+        }
+
         @Test
         void shouldMentionBoundPartsInTheirHomeRegionsOnly() {
             crashThreeTimes(List.of(BAD), Set.of(HOME));
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -120,11 +120,6 @@
         if (finished) {
             return true;
         }
-        if (isPromptPartRefused()) {
-            waiting = false;
-            failForRefusedPart();
-            return true;
-        }
         if (core.nowMs() >= waitUntilMs) {
             waiting = false;
             refuseUnavailable("waited too long for a free server");
@@ -180,8 +175,10 @@
     }
 
     private void place() {
-        if (isPromptPartRefused()) {
-            failForRefusedPart();
+        refusedPart = core.promptParts().check(demand, route);
+        if (refusedPart.isPresent()) {
+            RefusedPart refused = refusedPart.get();
+            fail("prompt part " + refused.part() + " was in flight at " + refused.crashes() + " crashes of servers");
             return;
         }
         boolean localAllowed = route.allows(core.settings().region());
@@ -200,17 +197,6 @@
         }
     }
 
-    /** Whether other instances or requests have shown that a part of the prompt crashes servers. */
-    private boolean isPromptPartRefused() {
-        refusedPart = core.promptParts().check(demand, route);
-        return refusedPart.isPresent();
-    }
-
-    private void failForRefusedPart() {
-        refusedPart.ifPresent(refused -> fail(
-                "prompt part " + refused.part() + " was in flight at " + refused.crashes() + " crashes of servers"));
-    }
-
     private void enqueue(String reason) {
         if (core.nowMs() >= waitUntilMs || !core.requestQueue().hasRoom(service)) {
             refuseUnavailable(reason);
