Don't expect events in the response to a HEAD request

The response to a HEAD request on a route of streams has no body, so without framing it would have counted as a stream that ends before its first event (TruncatedResponseTest.shouldRelayTheHeadOfAStream).

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -108,7 +109,9 @@
         waitUntilMs = request.arrivedMs()
                 + Math.min(
                         (long) (route.targetLatencyMs() * MAX_WAIT_FRACTION), (deadlineMs - request.arrivedMs()) / 2);
-        relay = new ResponseRelay(core, responseWriter, route.kind() == RequestKind.STREAMING, lastEventId());
+        boolean streaming =
+                route.kind() == RequestKind.STREAMING && !request.method().equals(HttpMethod.HEAD);
+        relay = new ResponseRelay(core, responseWriter, streaming, lastEventId());
         deadlineTimer = core.schedule(this::onDeadline, deadlineMs + DEADLINE_GRACE_MS - core.nowMs());
         core.countRequest(route);
         core.retryBudget(service).recordRequest(core.peers().deploymentSize(core.nowMs()));
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TruncatedResponseTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/TruncatedResponseTest.java
@@ -241,6 +241,15 @@
             assertThat(arrivals()).isEqualTo(1);
         }
 
+        @Test
+        void shouldRelayTheHeadOfAStream() throws IOException {
+            respondInTurn(request -> STREAM_HEAD + "\r\n", request -> "", ConnectionEnd.CLOSED);
+
+            assertThat(GatewayFixture.call(caller, "HEAD", "/resumed/7", "", ""))
+                    .startsWith("HTTP/1.1 200");
+            assertThat(arrivals()).isEqualTo(1);
+        }
+
         @Test
         void shouldRelayAPlainResponseThatEndsWithItsConnection() throws IOException {
             respondInTurn(request -> PLAIN_HEAD + "\r\nhello", request -> "", ConnectionEnd.CLOSED);
