--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/PoisonTest.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/requests/PoisonTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ibissaddle.standins.EngineFaults;
+import org.ibissaddle.standins.EngineStandin;
 import org.ibissaddle.standins.ResponseText;
 import org.ibissaddle.standins.StandinStartException;
 import org.junit.jupiter.api.Tag;
@@ -23,6 +24,9 @@
     private static final int HEALTHY_CALLERS = 24;
     private static final int MAX_TOKENS = 60;
     private static final int MAX_CRASHES = 3;
+    /** Crashes allowed until a shared part of prompts is known: five, and three requests more. */
+    private static final int MAX_CRASHES_BY_A_PART = 8;
+
     private static final String POISON = "a prompt with POISON in it";
 
     @Tag("known-red")
@@ -57,6 +61,34 @@
         }
     }
 
+    /** Guards against a part of a prompt that crashes engines in requests of which no two are alike. */
+    @Tag("known-red")
+    @Test
+    void shouldCrashFewEnginesWhenRequestsShareOnlyAPartOfTheirPrompt(@TempDir Path directory)
+            throws StandinStartException, IOException {
+        try (Cluster cluster = new Cluster(directory, 4, 0, ENGINES)) {
+            cluster.engines()
+                    .forEach(engine -> engine.setFaults(EngineFaults.none().withCrashOn("POISON")));
+            StreamClient caller = new StreamClient(cluster);
+            for (int i = 0; i < POISON_CALLS; i++) {
+                for (EngineStandin engine : cluster.engines()) {
+                    if (engine.hasCrashed()) {
+                        engine.restart();
+                        engine.setFaults(EngineFaults.none().withCrashOn("POISON"));
+                    }
+                }
+                String instance =
+                        cluster.instanceNames().get(i % cluster.instanceNames().size());
+                caller.callWithoutRetry(cluster.callerUrl(instance), POISON + " " + i, MAX_TOKENS);
+            }
+
+            assertThat(cluster.engines().stream()
+                            .mapToLong(engine -> engine.stats().crashes())
+                            .sum())
+                    .isBetween(1L, (long) MAX_CRASHES_BY_A_PART);
+        }
+    }
+
     private static void sendPoison(Cluster cluster) {
         StreamClient caller = new StreamClient(cluster);
         for (int i = 0; i < POISON_CALLS; i++) {
