--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** The little of HTTP/1.1 that the stand-ins need. */
 final class Http {
@@ -34,12 +35,25 @@
         }
     }
 
+    /** Returns a free port below those that the operating system gives to outgoing connections. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        for (int i = 0; i < 1_000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // In use: try another one.
+            }
         }
+        throw new IllegalStateException("no free port");
+    }
+
+    /** Lets an error in the case itself end the process with 2, which says that the case couldn't run. */
+    static void exitWithTwoOnError() {
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> {
+            error.printStackTrace();
+            Runtime.getRuntime().halt(2);
+        });
     }
 
     /** Reads a message; returns null if the connection ended before its first byte. */
--- a/review/standin/Server.java
+++ b/review/standin/Server.java
@@ -166,7 +166,9 @@
         String ended = id;
         id = ended + "-ended";
         try {
-            listener.close();
+            if (listener != null) {
+                listener.close();
+            }
         } catch (IOException e) {
             record.line("server %s: %s", ended, e);
         }
--- a/review/standin/WatchCut.java
+++ b/review/standin/WatchCut.java
@@ -32,6 +32,7 @@
     private record Late(String server, String attempt, long afterMs) {}
 
     public static void main(String[] args) throws Exception {
+        Http.exitWithTwoOnError();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Record record = new Record(Path.of(args[0], "record.txt"));
         Path folder = Files.createTempDirectory("review");
