Review case 1: one wrong byte in an event's id stops the reader of the store for good (CONFIG)

The id becomes a Last-Event-Id header unchecked. If the request waits for a server when the store tells of a new one, the exception leaves StoreWatcher.onChanges and no further watch is sent; the gateway goes on by the old manifest.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -d target/review-standins ] && [ -x target/runtime/bin/java ] || exit 2
-timeout -k 2 118 target/runtime/bin/java -cp target/review-standins SmuggledRequest "$here"
+timeout -k 2 118 target/runtime/bin/java -cp target/review-standins WrongByte "$here"
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
