--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -9,11 +9,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** The little of HTTP/1.1 that the stand-ins need. */
 final class Http {
+    private static final Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
+
     private Http() {}
 
     /** A request or a response: the first line, the headers by lower-case name, and the body. */
@@ -39,6 +43,9 @@
     static int freePort() {
         for (int i = 0; i < 1_000; i++) {
             int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            if (!TAKEN_PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return socket.getLocalPort();
             } catch (IOException e) {
