--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -196,6 +196,7 @@
             return rejectAndClose("response to another request");
         }
         if (echoed == null && !requestId.isEmpty() && call.isConnectionReused()) {
+            core.log().notice("answer-without-id", "request", requestId, "target", target(), "status", status);
             call.cancel();
             return rejectAndClose("response without a request id, which may be that to an earlier request");
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -86,7 +86,7 @@
         this.responseWriter = responseWriter;
         this.id =
                 Optional.ofNullable(request.header(PlatformHeaders.REQUEST_ID)).orElse("");
-        this.log = new RequestLog(core, id, request.arrivedMs());
+        this.log = new RequestLog(core, id, request.arrivedMs(), request.forwarded());
     }
 
     void start() {
@@ -382,7 +382,7 @@
     /** Called when a complete response has been relayed. */
     void onResponseComplete(Attempt from, int status) {
         core.metrics().recordResponse(service, status, log.elapsedMs());
-        log.answered(route.name(), from.target(), status, relay.framing(), sends);
+        log.answered(route.name(), from.target(), status, relay.framing(), relay.receivedBytes(), sends);
         finish("answered");
     }
 
@@ -420,7 +420,7 @@
                         || core.retryBudget(service)
                                 .tryAcquire(core.peers().deploymentSize(core.nowMs()), core.nowMs()));
         mayHaveRun |= evidence == AttemptPolicy.ExecutionEvidence.MAY_HAVE_RUN;
-        log.attemptFailed(route.name(), from.target(), evidence, reason, next, timeLeft, allowed);
+        log.attemptFailed(route.name(), from.target(), evidence, reason, next, timeLeft, countsAsRetry, allowed);
         if (allowed) {
             core.metrics().recordRetry(service);
             place();
@@ -492,7 +492,7 @@
             return;
         }
         core.metrics().recordRefusal(service, status.code());
-        log.refused(route == null ? "" : route.name(), status, reason, mayHaveRun);
+        log.refused(route == null ? "" : route.name(), status, reason, mayHaveRun, sends);
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun);
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
@@ -10,11 +10,13 @@
     private final GatewayCore core;
     private final String request;
     private final long arrivedMs;
+    private final boolean forwarded;
 
-    RequestLog(GatewayCore core, String request, long arrivedMs) {
+    RequestLog(GatewayCore core, String request, long arrivedMs, boolean forwarded) {
         this.core = core;
         this.request = request;
         this.arrivedMs = arrivedMs;
+        this.forwarded = forwarded;
     }
 
     /** Time since the arrival of the request, milliseconds. */
@@ -54,7 +56,7 @@
                                 .orElse(""));
     }
 
-    void answered(String route, String target, int status, String framing, int sends) {
+    void answered(String route, String target, int status, String framing, long bytes, int sends) {
         core.log()
                 .info(
                         "answered",
@@ -68,6 +70,8 @@
                         status,
                         "framing",
                         framing,
+                        "bytes",
+                        bytes,
                         "tookMs",
                         elapsedMs(),
                         "sends",
@@ -81,6 +85,7 @@
             String reason,
             AttemptPolicy.RetryDecision next,
             boolean timeLeft,
+            boolean countsAsRetry,
             boolean withinBudget) {
         core.log()
                 .notice(
@@ -101,6 +106,8 @@
                         next,
                         "timeLeft",
                         timeLeft,
+                        "countsAsRetry",
+                        countsAsRetry,
                         "withinBudget",
                         withinBudget);
     }
@@ -109,7 +116,7 @@
         core.log().notice("broken-off", "request", request, "reason", reason, "afterMs", elapsedMs());
     }
 
-    void refused(String route, HttpResponseStatus status, String reason, boolean mayHaveRun) {
+    void refused(String route, HttpResponseStatus status, String reason, boolean mayHaveRun, int sends) {
         core.log()
                 .notice(
                         "refused",
@@ -125,6 +132,10 @@
                         elapsedMs(),
                         "mayHaveRun",
                         mayHaveRun,
+                        "sends",
+                        sends,
+                        "forwarded",
+                        forwarded,
                         "configuration",
                         core.configurationVersion());
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
@@ -31,6 +31,7 @@
     private boolean malformedEvent;
     private boolean memoryExhausted;
     private boolean started;
+    private long receivedBytes;
 
     ResponseRelay(
             GatewayCore core,
@@ -71,6 +72,7 @@
 
     void onHead(HttpResponse response) {
         latestHead = response;
+        receivedBytes = 0;
         eventReceived = false;
         malformedEvent = false;
         if (started) {
@@ -82,6 +84,7 @@
 
     /** Relays the events that the content completes, or buffers content of a plain response. */
     void onContent(ByteBuf content) {
+        receivedBytes += content.readableBytes();
         if (!eventStream) {
             buffer(content);
             return;
@@ -131,6 +134,11 @@
         return isFramed() ? "length" : "close";
     }
 
+    /** Returns the size of the latest response so far, without its head, for logs. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
     /** Returns the number of bytes after the last complete event. */
     int partialEventBytes() {
         return events.partialEventBytes();
