--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -25,6 +25,12 @@
     static final String RESET = "";
     /** A response that makes the server close all its connections and stop listening. */
     static final String CRASH = "crash";
+    /** Separates parts of a response that are sent a few milliseconds apart. */
+    static final String PAUSE = "\u0001";
+    /** At the end of a response, makes the server close the connection after it. */
+    static final String CLOSE = "\u0002";
+
+    private static final long PAUSE_MS = 5;
 
     private final ServerSocket listener;
     private final String id;
@@ -156,7 +162,10 @@
                     socket.setSoLinger(true, 0);
                     return;
                 }
-                send(socket, answer, current.intervalMs());
+                sendParts(socket, answer.replace(CLOSE, ""), current.intervalMs());
+                if (answer.endsWith(CLOSE)) {
+                    return;
+                }
                 if (!current.endlessTail().isEmpty()) {
                     sendWithoutEnd(socket, current.endlessTail());
                 }
@@ -170,6 +179,14 @@
         }
     }
 
+    private static void sendParts(Socket socket, String answer, long intervalMs) throws IOException {
+        String[] parts = answer.split(PAUSE, -1);
+        for (int i = 0; i < parts.length; i++) {
+            LockSupport.parkNanos(i == 0 ? 0 : TimeUnit.MILLISECONDS.toNanos(PAUSE_MS));
+            send(socket, parts[i], intervalMs);
+        }
+    }
+
     private static void send(Socket socket, String answer, long intervalMs) throws IOException {
         if (intervalMs == 0) {
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
