End a response without length before a second response

Cause: the body of a response without length and chunks ends with its connection. A server that answers twice sends the second response before it closes the connection, and all bytes up to the close were taken for the body. The instance then framed the result itself, so that neither the next instance nor the caller could tell.

Fix: SecondResponseScanner looks for a response head with the id of the request in such bodies. What precedes it is the response; the rest is discarded with the connection, and logged as second-answer. Bytes that may belong to a head are held back, at most the size of a head. Two cases fail instead, since the end of the response is not known: the connection ends inside such a head, and a reused connection delivers a head with the id of another request, which may interrupt the body.

Alternatives: failing each attempt with a second response would end requests that may not be repeated with 502, although their response is whole. Looking for any head would cut bodies that quote one. Connections could be reset after a declared length only, but here there is none.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -122,6 +122,12 @@
         }
     }
 
+    @Override
+    public void onSecondResponse() {
+        long bytesBefore = exchange.relay().receivedBytes();
+        core.log().notice("second-answer", "request", requestId, "target", target(), "bytesBefore", bytesBefore);
+    }
+
     @Override
     public void onComplete() {
         if (finished) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.Optional;
+import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.port.Clock;
 
 /** A connection that carries one request at a time. */
@@ -33,6 +35,7 @@
     private boolean reused;
     private boolean headReceived;
     private long bytesBeforeHead;
+    private Optional<SecondResponseScanner> scanner = Optional.empty();
     private boolean keepAlive;
     private boolean closing;
     private long idleSinceMs;
@@ -158,6 +161,9 @@
         boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         keepAlive = HttpUtil.isKeepAlive(head) && framed;
         keepAliveMs = parseKeepAliveMs(head);
+        scanner = framed
+                ? Optional.empty()
+                : Optional.of(new SecondResponseScanner(PlatformHeaders.REQUEST_ID, this::isOtherResponse));
         call.listener().onResponseHead(head);
     }
 
@@ -166,14 +172,59 @@
             return;
         }
         HttpClient.Call current = call;
-        if (content.content().isReadable()) {
+        if (scanner.isPresent()) {
+            handleUnframedContent(scanner.get(), content.content());
+        } else if (content.content().isReadable()) {
             current.listener().onContent(content.content());
         }
-        if (content instanceof LastHttpContent && call == current && !current.isDone()) {
+        if (!(content instanceof LastHttpContent) || call != current || current.isDone()) {
+            return;
+        }
+        if (scanner.filter(SecondResponseScanner::isInsideHead).isPresent()) {
+            abort("connection closed inside a response head after the body");
+            return;
+        }
+        scanner.ifPresent(ended -> relay(ended.takeHeld()));
+        if (call == current && !current.isDone()) {
             completeCall();
         }
     }
 
+    /** Relays content of a body that ends with its connection, or with another response of a faulty server. */
+    private void handleUnframedContent(SecondResponseScanner bodyScanner, ByteBuf content) {
+        HttpClient.Call current = call;
+        relay(bodyScanner.add(content));
+        Optional<String> secondId = bodyScanner.foundId();
+        if (secondId.isEmpty() || current.isDone()) {
+            return;
+        }
+        if (!secondId.get().equals(requestId())) {
+            abort("response to another request within the body");
+            return;
+        }
+        current.listener().onSecondResponse();
+        completeCall();
+    }
+
+    private void relay(ByteBuf body) {
+        try {
+            if (body.isReadable()) {
+                call.listener().onContent(body);
+            }
+        } finally {
+            body.release();
+        }
+    }
+
+    /** A late response to an earlier request has an id that this request doesn't. */
+    private boolean isOtherResponse(String id) {
+        return reused || id.equals(requestId());
+    }
+
+    private String requestId() {
+        return call.head().headers().get(PlatformHeaders.REQUEST_ID);
+    }
+
     private void completeCall() {
         HttpClient.Call completed = call;
         call = null;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ResponseListener.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ResponseListener.java
@@ -31,6 +31,12 @@
      */
     void onContent(ByteBuf content);
 
+    /**
+     * Called before {@link #onComplete} if another response to the same request follows the body of a response that has
+     * no length. It is discarded.
+     */
+    default void onSecondResponse() {}
+
     /** Called when the response is complete. */
     void onComplete();
 
--- /dev/null
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/SecondResponseScanner.java
@@ -0,0 +1,151 @@
+package org.ibissaddle.daemon.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+
+/**
+ * Finds the head of another response in a body that ends with its connection. Only the request id in such a head tells
+ * it from text of the body, so all bytes that may belong to a head are held back until it is complete.
+ */
+final class SecondResponseScanner {
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    /** Start of a status line; each 0 stands for a digit. */
+    private static final String STATUS_LINE_START = VERSION_PREFIX + "0 000";
+
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}( [^\\r]*)?");
+    private static final Pattern HEADER = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\r]*");
+
+    private final String idHeader;
+    private final Predicate<String> isOtherResponse;
+    /** The bytes that are held back, in a buffer that needs no release. */
+    private final ByteBuf held = Unpooled.buffer(0);
+    /** Start of the possible head. */
+    private int headStart;
+    /** Start of the latest line of the possible head. */
+    private int lineStart;
+    /** End of the part of this line that is known to have no line feed. */
+    private int scannedEnd;
+
+    private Optional<String> id = Optional.empty();
+    private boolean found;
+
+    /**
+     * Creates a scanner.
+     *
+     * @param idHeader name of the header with the request id
+     * @param isOtherResponse returns whether a head with a request id begins another response; otherwise it is text
+     */
+    SecondResponseScanner(String idHeader, Predicate<String> isOtherResponse) {
+        this.idHeader = idHeader + ":";
+        this.isOtherResponse = isOtherResponse;
+    }
+
+    /** Returns the bytes that are known to belong to the body. The calling code must release them. */
+    ByteBuf add(ByteBuf content) {
+        if (!held.isReadable() && indexOfHead(content, content.readerIndex()) == content.writerIndex()) {
+            return content.retainedDuplicate();
+        }
+        held.writeBytes(content, content.readerIndex(), content.readableBytes());
+        scan();
+        ByteBuf body = held.readBytes(headStart);
+        held.discardReadBytes();
+        lineStart -= headStart;
+        scannedEnd -= headStart;
+        headStart = 0;
+        return body;
+    }
+
+    /** Returns the id in the head of another response that follows the body. */
+    Optional<String> foundId() {
+        return found ? id : Optional.empty();
+    }
+
+    /** Returns whether the bytes that are held back have a status line, so that they may belong to no body. */
+    boolean isInsideHead() {
+        return held.readableBytes() >= STATUS_LINE_START.length();
+    }
+
+    /** Returns the bytes that are held back, at the end of the body. */
+    ByteBuf takeHeld() {
+        return held.readBytes(held.readableBytes());
+    }
+
+    private void scan() {
+        if (headStart == scannedEnd) {
+            searchFrom(headStart);
+        }
+        while (!found && held.writerIndex() - headStart >= STATUS_LINE_START.length()) {
+            int lineEnd = held.indexOf(scannedEnd, held.writerIndex(), (byte) '\n');
+            if (lineEnd >= 0) {
+                addLine(lineEnd);
+                continue;
+            }
+            int lastByte = Math.max(scannedEnd, held.writerIndex() - 1);
+            boolean malformed = held.indexOf(scannedEnd, lastByte, (byte) '\r') >= 0;
+            if (!malformed && held.writerIndex() - headStart <= HttpClient.MAX_HEAD_BYTES) {
+                scannedEnd = lastByte;
+                return;
+            }
+            searchFrom(lineStart == headStart ? headStart + 1 : lineStart);
+        }
+    }
+
+    private void addLine(int lineEnd) {
+        int end = lineEnd > lineStart && held.getByte(lineEnd - 1) == '\r' ? lineEnd - 1 : lineEnd;
+        String line = held.toString(lineStart, end - lineStart, StandardCharsets.ISO_8859_1);
+        boolean tooLong = lineEnd - headStart > HttpClient.MAX_HEAD_BYTES;
+        if (lineStart == headStart) {
+            int lastStart = line.lastIndexOf(VERSION_PREFIX);
+            if (lastStart > 0 || tooLong || !STATUS_LINE.matcher(line).matches()) {
+                searchFrom(headStart + Math.max(1, lastStart));
+                return;
+            }
+        } else if (line.isEmpty()) {
+            found = id.isPresent();
+            if (!found) {
+                searchFrom(lineEnd + 1);
+            }
+            return;
+        } else if (tooLong || !HEADER.matcher(line).matches()) {
+            searchFrom(lineStart);
+            return;
+        } else if (line.regionMatches(true, 0, idHeader, 0, idHeader.length())) {
+            id = Optional.of(line.substring(idHeader.length()).trim()).filter(isOtherResponse);
+        }
+        lineStart = lineEnd + 1;
+        scannedEnd = lineStart;
+    }
+
+    /** Continues with the next possible head. No earlier one can be a head. */
+    private void searchFrom(int from) {
+        headStart = indexOfHead(held, from);
+        lineStart = headStart;
+        scannedEnd = headStart;
+        id = Optional.empty();
+    }
+
+    /** Returns where the first status line begins, which may be incomplete; the end of the bytes if there is none. */
+    private static int indexOfHead(ByteBuf bytes, int from) {
+        int at = bytes.indexOf(from, bytes.writerIndex(), (byte) STATUS_LINE_START.charAt(0));
+        while (at >= 0 && !isStatusLineStart(bytes, at)) {
+            at = bytes.indexOf(at + 1, bytes.writerIndex(), (byte) STATUS_LINE_START.charAt(0));
+        }
+        return at >= 0 ? at : bytes.writerIndex();
+    }
+
+    private static boolean isStatusLineStart(ByteBuf bytes, int at) {
+        int length = Math.min(STATUS_LINE_START.length(), bytes.writerIndex() - at);
+        for (int i = 0; i < length; i++) {
+            char expected = STATUS_LINE_START.charAt(i);
+            byte next = bytes.getByte(at + i);
+            if (expected == '0' ? next < '0' || next > '9' : next != expected) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
