Charge retries of requests that servers of another instance rejected

A service got more arrivals beyond the first of each request than its retry budget allows. An instance whose servers reject a forwarded request (X-Not-Executed) refuses it as not run, which is right. The instance that had forwarded it took this for a request that had reached no server, and sent it to the next instance without charging the budget: one arrival for each instance of each request, without bound.

A refusal between instances now says whether the request may have reached a server. Only one that says no is resent for free. A refusal without the statement, of an earlier version during an update, is charged. An answer that precedes any attempt (framing, size, time limit of the body) says no.

Ruled out by reading: 421, resets and closed connections are charged; a connection that could not be opened, or was closed before the request was written, carries nothing; the client resends nothing on its own.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -187,7 +187,7 @@
                     InternalHeaders.NOT_RUN.equals(response.headers().get(InternalHeaders.OUTCOME));
             return Optional.of(new Rejection(
                     provenNotRun ? ExecutionEvidence.NOT_RUN : ExecutionEvidence.MAY_HAVE_RUN,
-                    !provenNotRun,
+                    InternalHeaders.mayHaveReachedServer(response.headers()),
                     "instance returned status " + status));
         }
         if (echoed != null && !echoed.equals(requestId)) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -308,13 +308,15 @@
     }
 
     /** Returns the headers of an error response that the gateway itself creates. */
-    HttpHeaders errorHeaders(HttpResponseStatus status, boolean toPeer, boolean provenNotRun) {
+    HttpHeaders errorHeaders(
+            HttpResponseStatus status, boolean toPeer, boolean provenNotRun, boolean mayHaveReachedServer) {
         HttpHeaders headers = new DefaultHttpHeaders();
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             headers.set("Retry-After", RETRY_AFTER_S);
         }
         if (toPeer) {
             headers.set(InternalHeaders.OUTCOME, provenNotRun ? InternalHeaders.NOT_RUN : InternalHeaders.UNKNOWN);
+            InternalHeaders.setReachedServer(headers, mayHaveReachedServer);
         }
         return headers;
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -290,7 +290,7 @@
             body.release();
             body = null;
         }
-        ErrorResponses.send(this, status, reason, core.errorHeaders(status, fromPeer, true));
+        ErrorResponses.send(this, status, reason, core.errorHeaders(status, fromPeer, true, false));
         core.log()
                 .notice(
                         "refused",
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InternalHeaders.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InternalHeaders.java
@@ -1,5 +1,7 @@
 package org.ibissaddle.daemon.gateway;
 
+import io.netty.handler.codec.http.HttpHeaders;
+
 /** Headers used between gateway instances; removed from the requests of callers and the responses of servers. */
 final class InternalHeaders {
     /** Name of the instance that forwarded the request. */
@@ -9,6 +11,20 @@
 
     static final String NOT_RUN = "not-run";
     static final String UNKNOWN = "unknown";
+    /** Set on an error response that an instance itself creates: whether the request may have reached a server. */
+    static final String REACHED_SERVER = "X-Ibissaddle-Reached-Server";
+
+    private static final String NO = "no";
+    private static final String MAYBE = "maybe";
 
     private InternalHeaders() {}
+
+    static void setReachedServer(HttpHeaders headers, boolean mayHaveReached) {
+        headers.set(REACHED_SERVER, mayHaveReached ? MAYBE : NO);
+    }
+
+    /** Whether a refused request may have reached a server; also if an instance of an earlier version refused it. */
+    static boolean mayHaveReachedServer(HttpHeaders headers) {
+        return !NO.equals(headers.get(REACHED_SERVER));
+    }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -73,6 +73,7 @@
     private Attempt attempt;
     private ResponseRelay relay;
     private boolean mayHaveRun;
+    private boolean mayHaveReachedServer;
     private boolean waiting;
     private Optional<RefusedContent> refusedContent = Optional.empty();
     private OptionalLong peerRetryAtMs = OptionalLong.empty();
@@ -228,7 +229,7 @@
         } catch (RuntimeException e) {
             log.failedUnexpectedly(e);
             if (!finished) {
-                mayHaveRun |= attempt != null;
+                recordUnfinishedAttempt();
                 fail("internal error");
             }
         }
@@ -420,6 +421,7 @@
                         || core.retryBudget(service)
                                 .tryAcquire(core.peers().deploymentSize(core.nowMs()), core.nowMs()));
         mayHaveRun |= evidence == AttemptPolicy.ExecutionEvidence.MAY_HAVE_RUN;
+        mayHaveReachedServer |= countsAsRetry;
         log.attemptFailed(route.name(), from.target(), evidence, reason, next, timeLeft, countsAsRetry, allowed);
         if (allowed) {
             core.metrics().recordRetry(service);
@@ -448,8 +450,7 @@
             return;
         }
         if (attempt != null) {
-            // Conservatively includes attempts whose connection is still being opened.
-            mayHaveRun = true;
+            recordUnfinishedAttempt();
             attempt.cancel();
             attempt = null;
         }
@@ -461,10 +462,16 @@
         if (finished) {
             return;
         }
-        mayHaveRun |= attempt != null;
+        recordUnfinishedAttempt();
         fail("the instance is stopping");
     }
 
+    /** Conservatively includes attempts whose connection is still being opened. */
+    private void recordUnfinishedAttempt() {
+        mayHaveRun |= attempt != null;
+        mayHaveReachedServer |= attempt != null;
+    }
+
     private void fail(String reason) {
         if (!mayHaveRun) {
             refuseUnavailable(reason);
@@ -492,9 +499,9 @@
             return;
         }
         core.metrics().recordRefusal(service, status.code());
-        log.refused(route == null ? "" : route.name(), status, reason, mayHaveRun, sends);
+        log.refused(route == null ? "" : route.name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
         finish("refused");
-        HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun);
+        HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun, mayHaveReachedServer);
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             retryAtMs().ifPresent(atMs -> headers.set(PlatformHeaders.RETRY_AFTER, secondsUntil(atMs)));
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
@@ -24,7 +24,8 @@
             "Upgrade",
             "Expect",
             InternalHeaders.FORWARDED_BY,
-            InternalHeaders.OUTCOME);
+            InternalHeaders.OUTCOME,
+            InternalHeaders.REACHED_SERVER);
     private static final Set<String> DROPPED_FROM_REQUESTS = names(HOP_BY_HOP, PlatformHeaders.RESERVED);
     private static final Set<String> DROPPED_FROM_RESPONSES = names(HOP_BY_HOP, List.of("Content-Length"));
     private static final Set<String> END_TO_END = names(PlatformHeaders.END_TO_END, List.of());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
@@ -116,7 +116,13 @@
         core.log().notice("broken-off", "request", request, "reason", reason, "afterMs", elapsedMs());
     }
 
-    void refused(String route, HttpResponseStatus status, String reason, boolean mayHaveRun, int sends) {
+    void refused(
+            String route,
+            HttpResponseStatus status,
+            String reason,
+            boolean mayHaveRun,
+            boolean mayHaveReachedServer,
+            int sends) {
         core.log()
                 .notice(
                         "refused",
@@ -132,6 +138,8 @@
                         elapsedMs(),
                         "mayHaveRun",
                         mayHaveRun,
+                        "mayHaveReachedServer",
+                        mayHaveReachedServer,
                         "sends",
                         sends,
                         "forwarded",
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
@@ -16,10 +16,12 @@
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.standins.Ports;
 
-/** Starts gateways in the regions north and south, and calls them with exact bytes. */
+/** Starts gateways in the regions north, south and east, and calls them with exact bytes. */
 final class GatewayFixture {
-    private static final Map<Zone, Region> ZONES =
-            Map.of(new Zone("north-a"), new Region("north"), new Zone("south-a"), new Region("south"));
+    private static final Map<Zone, Region> ZONES = Map.of(
+            new Zone("north-a"), new Region("north"),
+            new Zone("south-a"), new Region("south"),
+            new Zone("east-a"), new Region("east"));
     private static final GatewaySettings.PlatformLimits LIMITS =
             new GatewaySettings.PlatformLimits(0.2, 10_000, 1_000, 4_000, 5);
 
@@ -29,7 +31,10 @@
     static Gateway start(
             String region, Address caller, Address directory, Address peer, List<Address> seeds, Address store)
             throws IOException {
-        GatewaySettings settings = settings(region + "-1", region, caller, directory, peer, seeds, store);
+        return start(settings(region + "-1", region, caller, directory, peer, seeds, store));
+    }
+
+    static Gateway start(GatewaySettings settings) throws IOException {
         return Gateway.start(
                 settings, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), OutputStream.nullOutputStream());
     }
@@ -42,6 +47,18 @@
             Address peer,
             List<Address> seeds,
             Address store) {
+        return settings(name, region, caller, directory, peer, seeds, store, LIMITS);
+    }
+
+    static GatewaySettings settings(
+            String name,
+            String region,
+            Address caller,
+            Address directory,
+            Address peer,
+            List<Address> seeds,
+            Address store,
+            GatewaySettings.PlatformLimits limits) {
         return new GatewaySettings(
                 new InstanceId(name),
                 new Region(region),
@@ -54,7 +71,7 @@
                 0,
                 store,
                 seeds,
-                LIMITS);
+                limits);
     }
 
     /** Waits until the readiness check of an instance answers with a status. */
