Add a call to the retry budget once, at the instance that it reaches first

Servers of a pool could get more retries than the budget of the deployment allows when calls pass two instances (BUDGET, own interface).

Cause: each instance that a call passes added it to its budget, so that one call added 0.2 tokens in the region of its caller and 0.2 in the region of its server.

Evidence: ServiceDispatcherTest failed before: 2,000 forwarded calls gave 564 retries at the instance that received them, where 256 accumulated ones are allowed. Ruled out: a refusal of another instance is charged like that of a server; the same test counts the retries of calls that reach no server and was green before. Calls that must run at most once are added only by the owner of their ticket, since the instance that forwards them makes no dispatch.

An instance doesn't add a call that came from another region. It still takes a token for each retry of its own.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/Dispatch.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/Dispatch.java
@@ -38,6 +38,18 @@
         return new Dispatch(true, deadlineMs, budget);
     }
 
+    /**
+     * Starts a call that may be executed more than once and that another instance has forwarded. The other instance has
+     * added it to the budget of the pool.
+     *
+     * @param deadlineMs deadline of the caller, epoch milliseconds
+     * @param budget retry budget of its pool
+     * @return the dispatch
+     */
+    public static Dispatch forwarded(long deadlineMs, RetryBudget budget) {
+        return new Dispatch(true, deadlineMs, budget);
+    }
+
     /**
      * Starts a call that must be executed at most once.
      *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/once/ServiceDispatcher.java
@@ -12,6 +12,7 @@
 import org.ibissaddle.dispatch.Dispatch;
 import org.ibissaddle.dispatch.Outcome;
 import org.ibissaddle.dispatch.Permit;
+import org.ibissaddle.dispatch.RetryBudget;
 import org.ibissaddle.dispatch.SendCheck;
 import org.ibissaddle.dispatch.Step;
 import org.ibissaddle.fleet.InstanceView;
@@ -50,7 +51,10 @@
 
     /** Dispatches a call that may be executed more than once. */
     Outcome dispatchRetryable(ServiceCall call) {
-        Dispatch dispatch = Dispatch.repeatable(call.deadlineMs(), budgets.of(call.pool()));
+        RetryBudget budget = budgets.of(call.pool());
+        Dispatch dispatch = call.forwardedBy().isEmpty()
+                ? Dispatch.repeatable(call.deadlineMs(), budget)
+                : Dispatch.forwarded(call.deadlineMs(), budget);
         return run(dispatch, call, Optional.empty());
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/ModelCallDependencies.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/ModelCallDependencies.java
@@ -6,7 +6,10 @@
 import org.ibissaddle.daemon.path.RetryBudgets;
 import org.ibissaddle.daemon.settings.Settings;
 import org.ibissaddle.daemon.state.SharedState;
+import org.ibissaddle.dispatch.Dispatch;
+import org.ibissaddle.dispatch.RetryBudget;
 import org.ibissaddle.placement.PlacementPolicy;
+import org.ibissaddle.placement.PlacementRequest;
 import org.ibissaddle.port.Clock;
 import org.ibissaddle.stream.StreamTokenCodec;
 
@@ -36,4 +39,12 @@
         StreamTokenCodec tokens,
         Clock clock,
         EventLog log,
-        Timer firstToken) {}
+        Timer firstToken) {
+    /** Starts a call, which adds to the retry budget of its pool unless another instance has forwarded it. */
+    Dispatch startDispatch(PlacementRequest request) {
+        RetryBudget budget = budgets.of(request.pool());
+        return request.forwarded()
+                ? Dispatch.forwarded(request.deadlineMs(), budget)
+                : Dispatch.repeatable(request.deadlineMs(), budget);
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/NonStreamingCallHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/NonStreamingCallHandler.java
@@ -37,8 +37,7 @@
                 call.get().cancel();
             }
         });
-        Dispatch dispatch = Dispatch.repeatable(
-                placementRequest.deadlineMs(), dependencies.budgets().of(placementRequest.pool()));
+        Dispatch dispatch = dependencies.startDispatch(placementRequest);
         try (placer) {
             Step step = dispatch.first();
             while (step instanceof Step.SelectServer place) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/stream/StreamSession.java
@@ -89,8 +89,7 @@
     }
 
     private Optional<Response> start() throws RefusedException, IOException {
-        Dispatch dispatch = Dispatch.repeatable(
-                placementRequest.deadlineMs(), dependencies.budgets().of(placementRequest.pool()));
+        Dispatch dispatch = dependencies.startDispatch(placementRequest);
         Step step = dispatch.first();
         while (step instanceof Step.SelectServer place) {
             if (place.attempt() > 0) {
