Let a restarted instance accumulate its retries anew

Cause: an instance started with all the retries that it may accumulate, although the run before it may have used as many a moment earlier. Each restart added them once more.

An instance now starts without accumulated retries and gets them over 20 s; the ones that its calls add count from the start. Restarts in a window of 10 s thus add at most half of what running instances hold, and the sum of both stays within the 256. RetryBudget counts used tokens instead of available ones, so that a burst that grows makes retries available; with a constant burst it allows the same.

The test of the accumulated retries drained new instances; it now drains instances that have run for a minute, with the same bounds. ServiceDispatcherTest lets its instance run for a minute too.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/RetryBudget.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/RetryBudget.java
@@ -13,12 +13,12 @@
 
     private final long refill;
     private final IntSupplier burst;
-    private final AtomicLong tokens;
+    /** Tokens that are used and not yet added again; the rest of the capacity is available. */
+    private final AtomicLong used = new AtomicLong();
 
     private RetryBudget(long refill, IntSupplier burst) {
         this.refill = refill;
         this.burst = burst;
-        tokens = new AtomicLong(capacity());
     }
 
     /**
@@ -33,7 +33,8 @@
     }
 
     /**
-     * Creates a full budget whose burst varies, for example with the number of instances that share it.
+     * Creates a full budget whose burst varies, for example with the number of instances that share it. When the burst
+     * grows, so do the available retries.
      *
      * @param ratio retries allowed per call, 0 to 1
      * @param burst maximum number of accumulated retries at the time of the call
@@ -43,14 +44,9 @@
         return new RetryBudget(Math.round(ratio * SCALED_TOKEN), burst);
     }
 
-    private long capacity() {
-        return burst.getAsInt() * SCALED_TOKEN;
-    }
-
     /** Records a call that is not a retry. */
     public void recordCall() {
-        long capacity = capacity();
-        tokens.accumulateAndGet(refill, (available, added) -> Math.min(capacity, available + added));
+        used.accumulateAndGet(refill, (tokens, added) -> Math.max(0, tokens - added));
     }
 
     /**
@@ -59,14 +55,13 @@
      * @return whether a token was available
      */
     public boolean tryAcquire() {
-        long capacity = capacity();
+        long capacity = burst.getAsInt() * SCALED_TOKEN;
         while (true) {
-            long saved = tokens.get();
-            long available = Math.min(saved, capacity);
-            if (available < SCALED_TOKEN) {
+            long tokens = used.get();
+            if (tokens + SCALED_TOKEN > capacity) {
                 return false;
             }
-            if (tokens.compareAndSet(saved, available - SCALED_TOKEN)) {
+            if (used.compareAndSet(tokens, tokens + SCALED_TOKEN)) {
                 return true;
             }
         }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestPipeline.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/RequestPipeline.java
@@ -93,7 +93,7 @@
         PlacementPolicy recordingPolicy =
                 new RecordingPolicy(new AdmissionNotifyingPolicy(weightedPolicy, gate), state.recorder());
         PlacementPolicy policy = new FreshViewPolicy(recordingPolicy, state, clock);
-        RetryBudgets budgets = new RetryBudgets(state);
+        RetryBudgets budgets = new RetryBudgets(state, clock);
         StreamClient engines = new StreamClient(LocalAddressSocketFactory.from(settings.callerAddress()));
         CrashTracker crashes = new CrashTracker(state, key, engines, clock, log);
         StreamClaims claims = new StreamClaims(state, tokens, engines, clock);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RetryBudgets.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RetryBudgets.java
@@ -5,23 +5,38 @@
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.dispatch.RetryBudget;
 import org.ibissaddle.id.PoolId;
+import org.ibissaddle.port.Clock;
 
 /** Retry budgets of an instance, one per pool. */
 public final class RetryBudgets {
     private static final double RETRY_RATIO = 0.2;
-    /** Maximum number of accumulated retries of a pool, over all instances. */
+    /** Maximum number of accumulated retries of a pool in a window, over all instances and their restarts. */
     private static final int MAX_SAVED_RETRIES = 256;
+    /** Window in which the retries before and after a restart add up. */
+    private static final long WINDOW_MS = 10_000;
+    /**
+     * Time in which an instance accumulates its retries. It starts without any, since earlier runs may have used them.
+     */
+    private static final long SAVING_MS = 2 * WINDOW_MS;
+    /** In a window, restarts in series add at most {@code WINDOW_MS / SAVING_MS} of these. */
+    private static final int MAX_SAVED_RETRIES_WHEN_RUNNING =
+            (int) (MAX_SAVED_RETRIES * SAVING_MS / (SAVING_MS + WINDOW_MS));
 
     private final SharedState state;
+    private final Clock clock;
+    private final long startedAtMs;
     private final Map<PoolId, RetryBudget> budgets = new ConcurrentHashMap<>();
 
     /**
-     * Creates full budgets.
+     * Creates the budgets of an instance that starts now.
      *
      * @param state state of the instance, whose fleet view holds the number of instances
+     * @param clock source of time
      */
-    public RetryBudgets(SharedState state) {
+    public RetryBudgets(SharedState state, Clock clock) {
         this.state = state;
+        this.clock = clock;
+        this.startedAtMs = clock.nowMs();
     }
 
     /**
@@ -34,9 +49,11 @@
         return budgets.computeIfAbsent(pool, id -> RetryBudget.of(RETRY_RATIO, this::maxSavedRetries));
     }
 
-    /** Returns the part of the accumulated retries that this instance may use; at least one. */
+    /** Returns the accumulated retries that this instance may use so far. */
     private int maxSavedRetries() {
         int instances = state.fleet().peers().size() + 1;
-        return Math.max(1, MAX_SAVED_RETRIES / instances);
+        int portion = Math.max(1, MAX_SAVED_RETRIES_WHEN_RUNNING / instances);
+        long ageMs = Math.min(clock.nowMs() - startedAtMs, SAVING_MS);
+        return (int) (portion * ageMs / SAVING_MS);
     }
 }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/once/ServiceDispatcherTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/once/ServiceDispatcherTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Level;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.daemon.caller.CallerRequest;
@@ -49,6 +50,7 @@
 class ServiceDispatcherTest {
     private static final int CALLS = 2_000;
     private static final int MAX_SAVED_RETRIES = 256;
+    private static final long LONG_RUN_MS = 60_000;
     private static final double RETRY_RATIO = 0.2;
     private static final Region NORTH = new Region("north");
     private static final Region SOUTH = new Region("south");
@@ -59,10 +61,11 @@
 
     private final InstanceView self =
             new InstanceView(new InstanceId("i1"), Optional.empty(), NORTH, ZONE, UNUSED, UNUSED, Health.LIVE, 0, 0);
+    private final AtomicLong budgetClockMs = new AtomicLong();
     private final SharedState state = state();
     private final UnreachableServers policy = new UnreachableServers();
     private final ServiceDispatcher dispatcher =
-            new ServiceDispatcher(settings(), state, policy, new RetryBudgets(state), () -> 0);
+            new ServiceDispatcher(settings(), state, policy, new RetryBudgets(state, budgetClockMs::get), () -> 0);
 
     /** Guards against a budget that grows at each instance that a request passes. */
     @Test
@@ -80,6 +83,7 @@
     }
 
     private int retriesOf(int calls, List<Region> forwardedBy) {
+        budgetClockMs.addAndGet(LONG_RUN_MS);
         for (int i = 0; i < calls; i++) {
             RequestHead head = new RequestHead("GET", "/stock/7", "", new DefaultHttpHeaders());
             CallerRequest request = new CallerRequest(head, new byte[0], 0);
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/path/RetryBudgetsTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/path/RetryBudgetsTest.java
@@ -5,9 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.ibissaddle.daemon.state.SharedState;
 import org.ibissaddle.daemon.timeline.TimelineRecorder;
-import org.ibissaddle.dispatch.RetryBudget;
 import org.ibissaddle.fleet.FleetView;
 import org.ibissaddle.fleet.Health;
 import org.ibissaddle.fleet.InstanceView;
@@ -23,25 +23,58 @@
 
 class RetryBudgetsTest {
     private static final int MAX_SAVED_RETRIES = 256;
+    private static final long WINDOW_MS = 10_000;
+    private static final long LONG_RUN_MS = 60_000;
+    private static final int RESTARTS = 8;
+    private static final PoolId POOL = new PoolId("inspection");
     private static final Address ADDRESS = new Address("127.0.0.1", 1);
 
+    private final AtomicLong nowMs = new AtomicLong();
+
     // The accumulated retries of each instance once added up over all instances.
     @ParameterizedTest
     @ValueSource(ints = {1, 4, 35})
     void shouldLimitTheAccumulatedRetriesOfAPoolForAnyNumberOfInstances(int count) {
+        List<RetryBudgets> running = startInstances(count);
+        nowMs.addAndGet(LONG_RUN_MS);
+
+        assertThat(retriesOf(running)).isBetween(MAX_SAVED_RETRIES / 2, MAX_SAVED_RETRIES);
+    }
+
+    /** Guards against instances that restart in series, each time with all the retries that they may accumulate. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 35})
+    void shouldLimitTheRetriesInAWindowInWhichInstancesRestartAgainAndAgain(int count) {
+        List<RetryBudgets> running = startInstances(count);
+        nowMs.addAndGet(LONG_RUN_MS);
+        int retries = retriesOf(running);
+        for (int i = 0; i < RESTARTS; i++) {
+            List<RetryBudgets> restarted = startInstances(count);
+            nowMs.addAndGet(WINDOW_MS / RESTARTS);
+            retries += retriesOf(restarted);
+        }
+
+        assertThat(retries).isBetween(MAX_SAVED_RETRIES / 2, MAX_SAVED_RETRIES);
+    }
+
+    private List<RetryBudgets> startInstances(int count) {
         List<InstanceView> instances = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             instances.add(instance("i" + i));
         }
+        return instances.stream()
+                .map(instance -> new RetryBudgets(stateOf(instance, instances), nowMs::get))
+                .toList();
+    }
+
+    private static int retriesOf(List<RetryBudgets> instances) {
         int retries = 0;
-        for (InstanceView instance : instances) {
-            RetryBudget budget = new RetryBudgets(stateOf(instance, instances)).of(new PoolId("inspection"));
-            while (budget.tryAcquire()) {
+        for (RetryBudgets budgets : instances) {
+            while (budgets.of(POOL).tryAcquire()) {
                 retries++;
             }
         }
-
-        assertThat(retries).isBetween(MAX_SAVED_RETRIES / 2, MAX_SAVED_RETRIES);
+        return retries;
     }
 
     private static SharedState stateOf(InstanceView self, List<InstanceView> instances) {
