Read no body after the response to HEAD that follows an interim response

Callers of HEAD got 504 when the server sent an interim response first, or the bytes of a second response were taken for the body.

Cause: Netty's HttpClientCodec pairs responses with requests in order and counts an interim response as one of them, so that the final response is no longer known to answer HEAD. Its Content-Length was waited for.

Fix: ResponseDecoder asks the connection, which carries one request at a time, for the method of that request. The error-prone enum and a product of ints in the test are replaced too; the check of its arrivals is stricter (one for each call that may not be repeated).

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -4,9 +4,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -30,6 +33,7 @@
     private final HttpClient client;
     private final Endpoint endpoint;
     private final Clock clock;
+    private final ResponseDecoder decoder = new ResponseDecoder(this::isHeadRequest);
     private Channel channel;
     private HttpClient.Call call;
     private boolean reused;
@@ -108,8 +112,16 @@
         context.close();
     }
 
-    /** Returns the handler in front of the codec, which does not limit blank lines and interim responses. */
-    ChannelInboundHandlerAdapter newHeadLimiter() {
+    void addHandlers(ChannelPipeline pipeline) {
+        pipeline.addLast(newHeadLimiter(), new HttpRequestEncoder(), decoder, this);
+    }
+
+    private boolean isHeadRequest() {
+        return call != null && call.head().method().equals(HttpMethod.HEAD);
+    }
+
+    /** Returns the handler in front of the decoder, which does not limit blank lines and interim responses. */
+    private ChannelInboundHandlerAdapter newHeadLimiter() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
@@ -9,8 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -25,8 +23,6 @@
     /** Maximum size of the response headers, in bytes; twice the size allowed for request headers of callers. */
     static final int MAX_HEAD_BYTES = 32_768;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 8_192;
-    private static final int MAX_CHUNK_BYTES = 65_536;
     /** Maximum number of idle connections in the pool for one endpoint. */
     private static final int MAX_IDLE_PER_ENDPOINT = 64;
 
@@ -84,7 +80,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(connection.newHeadLimiter(), newCodec(), connection);
+                        connection.addHandlers(channel.pipeline());
                     }
                 })
                 .connect(new InetSocketAddress(
@@ -128,14 +124,6 @@
         }
     }
 
-    private static HttpClientCodec newCodec() {
-        HttpDecoderConfig config = new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                .setMaxHeaderSize(MAX_HEAD_BYTES)
-                .setMaxChunkSize(MAX_CHUNK_BYTES);
-        return new HttpClientCodec(config, false, false);
-    }
-
     private ClientConnection takeIdle(Endpoint endpoint, long maxIdleMs) {
         Deque<ClientConnection> connections = idleConnections.get(endpoint);
         if (connections == null || maxIdleMs <= 0) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
@@ -6,7 +6,6 @@
 
 import java.io.IOException;
 import java.util.List;
-import java.util.function.BinaryOperator;
 import java.util.function.Function;
 import org.ibissaddle.id.Address;
 import org.junit.jupiter.api.AfterEach;
@@ -61,20 +60,20 @@
 
     /** How a second response follows the first one. */
     enum Timing {
-        SAME_SEGMENT((first, second) -> first + second),
-        LATE((first, second) -> first + PAUSE + second),
-        HEAD_IN_PARTS((first, second) -> first + PAUSE + second.replace("\r\n", "\r" + PAUSE + "\n")),
-        FIRST_BYTE_IN_THE_SAME_SEGMENT((first, second) -> first + second.charAt(0) + PAUSE + second.substring(1)),
-        STATUS_LINE_IN_PARTS((first, second) -> first + second.substring(0, 8) + PAUSE + second.substring(8));
-
-        private final BinaryOperator<String> order;
-
-        Timing(BinaryOperator<String> order) {
-            this.order = order;
-        }
+        SAME_SEGMENT,
+        LATE,
+        HEAD_IN_PARTS,
+        FIRST_BYTE_IN_THE_SAME_SEGMENT,
+        STATUS_LINE_IN_PARTS;
 
         String join(String first, String second) {
-            return order.apply(first, second);
+            return switch (this) {
+                case SAME_SEGMENT -> first + second;
+                case LATE -> first + PAUSE + second;
+                case HEAD_IN_PARTS -> first + PAUSE + second.replace("\r\n", "\r" + PAUSE + "\n");
+                case FIRST_BYTE_IN_THE_SAME_SEGMENT -> first + second.charAt(0) + PAUSE + second.substring(1);
+                case STATUS_LINE_IN_PARTS -> first + second.substring(0, 8) + PAUSE + second.substring(8);
+            };
         }
     }
 
@@ -264,7 +263,9 @@
                     }
                 }
             }
-            assertThat(arrivalsOfOneId()).isLessThanOrEqualTo(2 * Timing.values().length);
+            assertThat(server.arrivals().stream()
+                            .filter(request -> request.get("path").equals("/once/7")))
+                    .hasSizeLessThanOrEqualTo(Timing.values().length);
         }
 
         @ParameterizedTest
@@ -329,10 +330,16 @@
                     .containsOnlyOnce("HTTP/1.1");
         }
 
-        private long arrivalsOfOneId() {
-            return server.arrivals().stream()
-                    .filter(request -> request.get("path").equals("/once/7"))
-                    .count();
+        /**
+         * Guards against taking the bytes after a response to HEAD for its body, because an interim one precedes it.
+         */
+        @Test
+        void shouldRelayAResponseToHeadAfterAnInterimResponse() throws IOException {
+            respond(id -> "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: " + id
+                    + "\r\nX-Server-Seal: s\r\nContent-Length: 5\r\n\r\n");
+
+            assertThat(GatewayFixture.call(caller, "HEAD", "/any/7", "", "")).startsWith("HTTP/1.1 200");
+            assertThat(GatewayFixture.call(caller, "HEAD", "/any/7", "", "")).startsWith("HTTP/1.1 200");
         }
     }
 
