Do not reuse a connection on which unread bytes follow the response

Callers got 502 for requests that no server had run: their request was written to a connection on which a second response, or a part of one, had already been received.

Cause: a connection returned to the pool when its response was complete, although the bytes of the same read went on. A request that waited for the server was started on it at once and met those bytes instead of its own response; by the request id that is rejected, but the request may have run by then. While a connection was idle, the start of a head was not noticed until the head was complete.

No answer of another request was relayed.

Fix: a connection is closed if its decoder has unread bytes when the response is complete, and at the first byte that arrives without a request.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -125,6 +125,11 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (call == null && !closing) {
+                    ReferenceCountUtil.release(bytes);
+                    abort("unexpected bytes without a pending request");
+                    return;
+                }
                 if (!headReceived && bytesBeforeHead > HttpClient.MAX_HEAD_BYTES) {
                     ReferenceCountUtil.release(bytes);
                     abort("no response head within " + HttpClient.MAX_HEAD_BYTES + " bytes");
@@ -243,7 +248,7 @@
         headReceived = false;
         bytesBeforeHead = 0;
         idleSinceMs = clock.nowMs();
-        if (keepAlive && channel.isActive()) {
+        if (keepAlive && channel.isActive() && !decoder.hasUnreadBytes()) {
             channel.config().setAutoRead(true);
             client.addIdle(endpoint, this);
         } else {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ResponseDecoder.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ResponseDecoder.java
@@ -23,6 +23,11 @@
         this.isHeadRequest = isHeadRequest;
     }
 
+    /** Returns whether bytes have been received that belong to no response so far. */
+    boolean hasUnreadBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return isHeadRequest.getAsBoolean() || super.isContentAlwaysEmpty(message);
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
@@ -6,7 +6,12 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.function.Function;
+import java.util.stream.IntStream;
 import org.ibissaddle.id.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,6 +36,9 @@
               "targetLatencyMs":900,"priority":0,"service":"ledger","maxAttempts":2,"resumable":true}],
              "services":[{"name":"ledger","healthPath":"/healthz"}],"limits":{}}""";
     private static final List<String> PATHS = List.of("/once/", "/any/", "/stream/", "/resumed/");
+    /** More than the server has slots, so that some requests wait for the end of others. */
+    private static final int CONCURRENT_CALLS = 12;
+
     private static final int LARGE_BODY_BYTES = 3 * 1_048_576;
 
     private FakePlatformStore platform;
@@ -341,6 +349,27 @@
             assertThat(GatewayFixture.call(caller, "HEAD", "/any/7", "", "")).startsWith("HTTP/1.1 200");
             assertThat(GatewayFixture.call(caller, "HEAD", "/any/7", "", "")).startsWith("HTTP/1.1 200");
         }
+
+        /**
+         * Guards against writing a request to a connection with unread bytes, where its own response cannot be told.
+         */
+        @ParameterizedTest
+        @ValueSource(ints = {1, 9, 1_000})
+        void shouldNotReuseAConnectionWithUnreadBytes(int unreadBytes) throws Exception {
+            respond(id -> {
+                String response = Framing.LENGTH.response(id, events(id));
+                return response + response.substring(0, Math.min(response.length(), unreadBytes));
+            });
+            try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+                List<Callable<String>> calls = IntStream.range(0, CONCURRENT_CALLS)
+                        .<Callable<String>>mapToObj(id -> () -> call("/once/", String.valueOf(id)))
+                        .toList();
+                List<Future<String>> answers = callers.invokeAll(calls);
+                for (int id = 0; id < CONCURRENT_CALLS; id++) {
+                    assertThat(wholeBody(answers.get(id).get())).isEqualTo(events(String.valueOf(id)));
+                }
+            }
+        }
     }
 
     @Nested
