--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -4,9 +4,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -30,6 +33,7 @@
     private final HttpClient client;
     private final Endpoint endpoint;
     private final Clock clock;
+    private final ResponseDecoder decoder = new ResponseDecoder(this::isHeadRequest);
     private Channel channel;
     private HttpClient.Call call;
     private boolean reused;
@@ -108,11 +112,24 @@
         context.close();
     }
 
-    /** Returns the handler in front of the codec, which does not limit blank lines and interim responses. */
-    ChannelInboundHandlerAdapter newHeadLimiter() {
+    void addHandlers(ChannelPipeline pipeline) {
+        pipeline.addLast(newHeadLimiter(), new HttpRequestEncoder(), decoder, this);
+    }
+
+    private boolean isHeadRequest() {
+        return call != null && call.head().method().equals(HttpMethod.HEAD);
+    }
+
+    /** Returns the handler in front of the decoder, which does not limit blank lines and interim responses. */
+    private ChannelInboundHandlerAdapter newHeadLimiter() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (call == null && !closing) {
+                    ReferenceCountUtil.release(bytes);
+                    abort("unexpected bytes without a pending request");
+                    return;
+                }
                 if (!headReceived && bytesBeforeHead > HttpClient.MAX_HEAD_BYTES) {
                     ReferenceCountUtil.release(bytes);
                     abort("no response head within " + HttpClient.MAX_HEAD_BYTES + " bytes");
@@ -231,7 +248,7 @@
         headReceived = false;
         bytesBeforeHead = 0;
         idleSinceMs = clock.nowMs();
-        if (keepAlive && channel.isActive()) {
+        if (keepAlive && channel.isActive() && !decoder.hasUnreadBytes()) {
             channel.config().setAutoRead(true);
             client.addIdle(endpoint, this);
         } else {
