Start a retry budget empty, filling from the start of the process

Each start of an instance gave each service one retry at once, although what the instance had spent before counts in the same window; restarts in series add up without bound, and the shares of the slack leave no margin for them.

A budget now starts empty and fills from the start of the process on, also before its service has its first request, so that an instance that has run for a window has its whole portion at once. Over a restart it fills at the rate of before, thus restarts add nothing. An instance without seeds still starts with one retry: alone it uses a part of the slack only.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/SharedRetryBudget.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/dispatch/SharedRetryBudget.java
@@ -18,22 +18,39 @@
     private final double ratio;
     private final double slack;
     private final double windowMs;
-    private double tokens = 1;
+    private double tokens;
     private long refilledAtMs;
 
     /**
-     * Creates a budget that contains one token.
+     * Creates an empty budget, which fills from the start of the process on. What the instance used before it started
+     * is unknown and counts in the same window.
      *
      * @param ratio retries per request that the deployment allows, 0 to 1
      * @param slack additional retries that the deployment allows in a window
      * @param windowMs length of the window, milliseconds
-     * @param nowMs current time, milliseconds
+     * @param startedMs start time of the process, milliseconds
      */
-    public SharedRetryBudget(double ratio, double slack, long windowMs, long nowMs) {
+    public SharedRetryBudget(double ratio, double slack, long windowMs, long startedMs) {
         this.ratio = ratio * RATIO_SHARE;
         this.slack = slack * SLACK_SHARE;
         this.windowMs = windowMs;
-        this.refilledAtMs = nowMs;
+        this.refilledAtMs = startedMs;
+    }
+
+    /**
+     * Creates a budget with one token, for an instance that knows no address of another one. Alone, it uses a fraction
+     * of the slack, so that the rest covers its restarts.
+     *
+     * @param ratio retries per request that the deployment allows, 0 to 1
+     * @param slack additional retries that the deployment allows in a window
+     * @param windowMs length of the window, milliseconds
+     * @param startedMs start time of the process, milliseconds
+     * @return the budget
+     */
+    public static SharedRetryBudget forSingleInstance(double ratio, double slack, long windowMs, long startedMs) {
+        SharedRetryBudget budget = new SharedRetryBudget(ratio, slack, windowMs, startedMs);
+        budget.tokens = 1;
+        return budget;
     }
 
     /**
--- a/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
@@ -4,11 +4,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.peer.KnownPeers;
 import org.ibissaddle.peer.PeerTable;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -20,6 +22,7 @@
     private static final double SLACK = 210;
     private static final long WINDOW_MS = 10_000;
     private static final int INSTANCES = 35;
+    private static final int FEW_INSTANCES = 4;
     private static final long DURATION_MS = 2 * WINDOW_MS;
     private static final long STEP_MS = 10;
 
@@ -48,6 +51,40 @@
         assertThat(retries).isBetween(1, (int) (RATIO * requests + SLACK));
     }
 
+    // Each restarted instance began with a retry of its own, although the earlier ones count in the same window.
+    @Test
+    void shouldStayWithinTheBudgetWhenInstancesRestartInTurn() {
+        double slack = 54;
+        List<SharedRetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < FEW_INSTANCES; i++) {
+            budgets.add(newBudget(slack, 0));
+        }
+        int requests = 0;
+        int retries = 0;
+        for (long nowMs = WINDOW_MS; nowMs < 2 * WINDOW_MS; nowMs += 200) {
+            int restarted = requests++ % FEW_INSTANCES;
+            retries += retriesOfRejectedRequest(budgets.get(restarted), nowMs);
+            budgets.set(restarted, newBudget(slack, nowMs));
+        }
+
+        assertThat(retries).isBetween(1, (int) (RATIO * requests + slack));
+    }
+
+    private static SharedRetryBudget newBudget(double slack, long nowMs) {
+        return new SharedRetryBudget(RATIO, slack, WINDOW_MS, nowMs);
+    }
+
+    /** Records a request that servers reject as often as it may be retried, and returns the number of retries. */
+    private static int retriesOfRejectedRequest(SharedRetryBudget budget, long nowMs) {
+        OptionalInt instances = OptionalInt.of(FEW_INSTANCES);
+        budget.recordRequest(instances);
+        int retries = 0;
+        while (budget.tryAcquire(instances, nowMs)) {
+            retries++;
+        }
+        return retries;
+    }
+
     private static final class Instance {
         private final InstanceId id;
         private final PeerTable peers;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -52,6 +52,7 @@
     private GatewaySettings settings;
     private final EventLoop loop;
     private final Clock clock;
+    private final long startedMs;
     private final DecisionLog log;
     private final Catalog catalog = new Catalog(new StoreItemDecoder());
     private final BackendRegistry backends;
@@ -80,6 +81,7 @@
         this.loop = loop;
         this.clock = clock;
         this.log = log;
+        this.startedMs = clock.nowMs();
         this.metrics = new GatewayMetrics();
         this.backends = new BackendRegistry(settings.region(), settings.zones());
         this.peers = new PeerTable(
@@ -227,13 +229,14 @@
 
     SharedRetryBudget retryBudget(String service) {
         GatewaySettings.PlatformLimits platformLimits = settings.platformLimits();
+        double ratio = platformLimits.retryRatio();
+        double slack = platformLimits.retrySlack();
+        long windowMs = platformLimits.retryWindowMs();
         return budgets.computeIfAbsent(
                 service,
-                name -> new SharedRetryBudget(
-                        platformLimits.retryRatio(),
-                        platformLimits.retrySlack(),
-                        platformLimits.retryWindowMs(),
-                        nowMs()));
+                name -> settings.seeds().isEmpty()
+                        ? SharedRetryBudget.forSingleInstance(ratio, slack, windowMs, startedMs)
+                        : new SharedRetryBudget(ratio, slack, windowMs, startedMs));
     }
 
     Future<?> schedule(Runnable task, long delayMs) {
