Drain on when the stop signal is repeated

Cause: ShutdownSignals halted the process at each signal after the first, for the gateway role as for serve. The handlers are installed before the gateway listens, so that a signal during the start no longer ends requests either.

Ruled out: the JVM's own shutdown, since the handlers replace it; Gateway.drain ends early only when its thread is interrupted.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
@@ -31,7 +31,7 @@
 
     @Override
     public String summary() {
-        return "Runs an entry instance on the platform; SIGTERM drains it, a second signal terminates it immediately.";
+        return "Runs an entry instance on the platform; SIGTERM drains it, further signals do not end it earlier.";
     }
 
     @Override
@@ -43,9 +43,10 @@
     public int run(CommandLine line, PrintStream out) throws CommandFailedException {
         Path file = SettingsOption.file(line);
         OutputStream output = new FileOutputStream(FileDescriptor.out);
+        ShutdownSignals signals = new ShutdownSignals();
         try (Gateway gateway =
                 Gateway.start(readSettings(file), () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), output)) {
-            ShutdownSignals signals = new ShutdownSignals();
+            signals.onRepeat(gateway::logRepeatedStop);
             signals.onReload(() -> reload(gateway, file));
             long loadedModificationMs = file.toFile().lastModified();
             while (!signals.await(SETTINGS_POLL_MS)) {
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ServeCommand.java
@@ -37,7 +37,9 @@
         Settings settings = readSettings(SettingsOption.file(line));
         Logging.configure(settings.logLevel());
         try (Daemon daemon = Daemon.start(settings, System::currentTimeMillis)) {
-            new ShutdownSignals().await();
+            ShutdownSignals signals = new ShutdownSignals();
+            signals.onRepeat(ShutdownSignals::terminate);
+            signals.await();
             daemon.drainUntilIdle();
             return 0;
         } catch (IOException e) {
--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ShutdownSignals.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ShutdownSignals.java
@@ -7,12 +7,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Waits for SIGTERM or SIGINT. A second signal terminates the process immediately. */
+/** Waits for SIGTERM or SIGINT. Further signals are ignored, unless a task is set for them. */
 final class ShutdownSignals {
     private static final int SIGTERM_EXIT_CODE = 143;
 
     private final CountDownLatch firstSignal = new CountDownLatch(1);
     private final AtomicInteger receivedCount = new AtomicInteger();
+    private volatile Runnable repeatTask = () -> {};
 
     /**
      * Installs the signal handlers. Uses reflection because the compiler warns about direct use of
@@ -66,11 +67,25 @@
 
     private void handleStop() {
         if (receivedCount.incrementAndGet() > 1) {
-            Runtime.getRuntime().halt(SIGTERM_EXIT_CODE);
+            repeatTask.run();
         }
         firstSignal.countDown();
     }
 
+    /**
+     * Runs a task on each signal after the first.
+     *
+     * @param task task, run on a separate thread
+     */
+    void onRepeat(Runnable task) {
+        repeatTask = task;
+    }
+
+    /** Terminates the process immediately, with all requests in progress. */
+    static void terminate() {
+        Runtime.getRuntime().halt(SIGTERM_EXIT_CODE);
+    }
+
     /** Waits for the first signal for up to the given milliseconds; returns whether it was received. */
     boolean await(long timeoutMs) throws InterruptedException {
         return firstSignal.await(timeoutMs, TimeUnit.MILLISECONDS);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -131,6 +131,11 @@
         log.notice("settings-refused", "reason", reason.getMessage());
     }
 
+    /** Logs a stop signal that was received while the instance drains; it does not shorten the grace period. */
+    public void logRepeatedStop() {
+        log.notice("stop-signal-ignored", "reason", "the instance is stopping already");
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
