Tell other instances how many instances one knows

An instance divides the slack of the retry budget by the number of instances that it knows. One that has started a short time ago, or in a region that is cut off, and has met only a few, took the portion of a deployment of four.

The state that instances send each other now holds how many each knows itself; the greatest of these counts divides the slack. A count that was only heard isn't passed on, so that it expires with the instance that had it.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
@@ -21,6 +21,7 @@
  * @param draining whether it is shutting down; callers are sent to it only when no ready instance is preferred
  * @param revision highest platform revision that it has read
  * @param platformReachable whether it can reach the platform
+ * @param knownInstances number of instances that it knows, including itself; 0 if it has an earlier version
  * @param services load of the backend servers in its region, by service
  */
 public record PeerState(
@@ -35,6 +36,7 @@
         boolean draining,
         long revision,
         boolean platformReachable,
+        int knownInstances,
         Map<String, ServiceLoad> services) {
     /** Makes a defensive copy of the map. */
     public PeerState {
@@ -63,6 +65,7 @@
                 draining,
                 revision,
                 platformReachable,
+                knownInstances,
                 updated);
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -164,13 +164,26 @@
     }
 
     /**
-     * Returns the size of the deployment, including instances that are down but have not expired.
+     * Returns the size of the deployment, including instances that are down but have not expired: the highest count of
+     * the local instance and those that it knows, since it may have started a short time ago.
      *
      * @param nowMs current time, milliseconds
      * @return number of instances, including the local one; empty while the local instance may not know all others
      */
     public OptionalInt deploymentSize(long nowMs) {
-        return isDiscovering(nowMs) ? OptionalInt.empty() : OptionalInt.of(known.size() + 1);
+        if (isDiscovering(nowMs)) {
+            return OptionalInt.empty();
+        }
+        int reported = known.values().stream()
+                .mapToInt(entry -> entry.state.knownInstances())
+                .max()
+                .orElse(0);
+        return OptionalInt.of(Math.max(reported, knownInstances()));
+    }
+
+    /** Returns the number of instances that the local one knows itself, and not from the count of another one. */
+    public int knownInstances() {
+        return known.size() + 1;
     }
 
     /** Whether the table may lack instances, because the process has just started or is cut off since its start. */
--- a/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/dispatch/SharedRetryBudgetTest.java
@@ -93,6 +93,28 @@
         assertThat(retries).isBetween(1, (int) (RATIO * requestsInWindow + slack));
     }
 
+    // An instance that had started in a region cut off from the others took the portion of a small deployment.
+    @Test
+    void shouldStayWithinTheBudgetWhenRestartedInstancesKnowFewOthers() {
+        List<Instance> instances = new ArrayList<>();
+        for (int i = 0; i < INSTANCES; i++) {
+            instances.add(new Instance(i));
+        }
+        Instance running = instances.get(0);
+        running.learn(instances);
+        instances.forEach(instance -> instance.learn(List.of(running)));
+        int requests = 0;
+        int retries = 0;
+        for (long nowMs = WINDOW_MS; nowMs < 2 * WINDOW_MS; nowMs += 500) {
+            for (Instance instance : instances) {
+                requests++;
+                retries += instance.failAndRetry(nowMs) ? 1 : 0;
+            }
+        }
+
+        assertThat(retries).isBetween(1, (int) (RATIO * requests + SLACK));
+    }
+
     private static SharedRetryBudget newBudget(double slack, long nowMs) {
         return new SharedRetryBudget(RATIO, slack, WINDOW_MS, nowMs);
     }
@@ -119,7 +141,7 @@
         }
 
         void learn(List<Instance> others) {
-            others.forEach(other -> KnownPeers.add(peers, other.id, NORTH, ZONE, 0));
+            others.forEach(other -> KnownPeers.add(peers, other.id, NORTH, ZONE, other.peers.knownInstances(), 0));
         }
 
         /** Records a request whose first attempt fails, and returns whether it is retried. */
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
@@ -31,6 +31,7 @@
                 draining,
                 0,
                 true,
+                0,
                 Map.of());
     }
 
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/KnownPeers.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/KnownPeers.java
@@ -22,7 +22,22 @@
      * @param nowMs current time in milliseconds
      */
     public static void add(PeerTable peers, InstanceId id, Region region, Zone zone, long nowMs) {
-        PeerState state = new PeerState(id, 1, 1, region, zone, ADDRESS, ADDRESS, true, false, 1, true, Map.of());
+        add(peers, id, region, zone, 0, nowMs);
+    }
+
+    /**
+     * Adds an instance that is ready and reports how many instances it knows.
+     *
+     * @param peers the table
+     * @param id the instance
+     * @param region its region
+     * @param zone its availability zone
+     * @param knownInstances the number that it reports
+     * @param nowMs current time in milliseconds
+     */
+    public static void add(PeerTable peers, InstanceId id, Region region, Zone zone, int knownInstances, long nowMs) {
+        PeerState state =
+                new PeerState(id, 1, 1, region, zone, ADDRESS, ADDRESS, true, false, 1, true, knownInstances, Map.of());
         peers.update(new RelayedState(state, 0), nowMs);
     }
 }
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
@@ -59,6 +59,7 @@
                     false,
                     1,
                     true,
+                    peers.knownInstances(),
                     Map.of());
         }
 
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionSelectorTest.java
@@ -99,6 +99,7 @@
                 false,
                 0,
                 true,
+                0,
                 Map.of(ENGINES, new ServiceLoad(freeSlots, waitMs)));
         peers.update(new RelayedState(state, 0), 0);
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -124,6 +124,7 @@
                 core.isDraining(),
                 core.catalog().revision(),
                 platformReachable.getAsBoolean(),
+                core.peers().knownInstances(),
                 services);
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
@@ -119,6 +119,7 @@
             boolean draining,
             long revision,
             boolean platformReachable,
+            int knownInstances,
             Map<String, ServiceLoad> services) {
         static State of(PeerState state) {
             return new State(
@@ -133,6 +134,7 @@
                     state.draining(),
                     state.revision(),
                     state.platformReachable(),
+                    state.knownInstances(),
                     state.services());
         }
 
@@ -149,6 +151,7 @@
                     draining,
                     revision,
                     platformReachable,
+                    knownInstances,
                     services == null ? Map.of() : services);
         }
     }
