Do not take a cut watch of the store for an outage

Cause: after a cut watch the next call waited too, for up to 2 s or an event, so that the cut looked like an outage of 400 ms or longer. Its end started the grace period for expired entries, in which removals are held back, and each further cut started it anew. Now a call that does not wait follows a cut watch at once. It returns the changes and shows that the store responds; the next watch follows 200 ms later, so that cuts without pause cost two calls in 200 ms. An outage counts from the time at which the response was due, so that a watch without any response still counts as one.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -17,7 +17,8 @@
 
 /**
  * Watches the platform's store: lists all items once, then watches for changes, and lists again when the store no
- * longer has the history.
+ * longer has the history. The store may end a waiting watch at any time, which is not an outage: a call that does not
+ * wait then finds out whether the store responds.
  */
 final class StoreWatcher {
     /** Maximum duration of one watch call, milliseconds; bounds the time until a dead connection is detected. */
@@ -43,6 +44,7 @@
     private final List<CatalogItem> listedItems = new ArrayList<>();
     private long listRevision;
     private long watchFrom;
+    private long responseDueMs;
     private long failingSinceMs = -1;
 
     StoreWatcher(GatewayCore core) {
@@ -64,7 +66,7 @@
             listedItems.clear();
             listRevision = Long.MAX_VALUE;
         }
-        call(StoreProtocol.listTarget(StoreProtocol.ALL_KEYS, afterKey), RESPONSE_TIMEOUT_MS, this::onList);
+        call(StoreProtocol.listTarget(StoreProtocol.ALL_KEYS, afterKey), 0, this::onList);
     }
 
     private void onList(int status, byte[] body) {
@@ -93,10 +95,11 @@
     }
 
     private void watch() {
-        call(
-                StoreProtocol.watchTarget(StoreProtocol.ALL_KEYS, watchFrom, WATCH_TIMEOUT_MS),
-                WATCH_TIMEOUT_MS + RESPONSE_TIMEOUT_MS,
-                this::onChanges);
+        watch(WATCH_TIMEOUT_MS);
+    }
+
+    private void watch(long waitMs) {
+        call(StoreProtocol.watchTarget(StoreProtocol.ALL_KEYS, watchFrom, waitMs), waitMs, this::onChanges);
     }
 
     private void onChanges(int status, byte[] body) {
@@ -112,22 +115,24 @@
         }
         try {
             StoreProtocol.Changes changes = StoreProtocol.decodeChanges(body);
+            boolean regained = failingSinceMs >= 0;
             onSuccess();
             List<CatalogItem> relevant = changes.changes().stream()
                     .filter(item -> StoreItemDecoder.isRelevant(item.key()))
                     .toList();
             core.applyCatalogEvents(core.catalog().apply(relevant, core.nowMs()), "store");
             watchFrom = Math.max(watchFrom, changes.revision());
-            core.schedule(this::watch, changes.changes().isEmpty() ? 0 : WATCH_DELAY_MS);
+            core.schedule(this::watch, changes.changes().isEmpty() && !regained ? 0 : WATCH_DELAY_MS);
         } catch (MalformedMessageException e) {
             onFailure("watch: " + e.getMessage());
         }
     }
 
-    private void call(String target, long timeoutMs, BiConsumer<Integer, byte[]> onResponse) {
+    private void call(String target, long waitMs, BiConsumer<Integer, byte[]> onResponse) {
+        responseDueMs = core.nowMs() + waitMs;
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target);
         request.headers().set("Host", store.address().toString());
-        new ResponseCollector(core, timeoutMs, MAX_RESPONSE_BYTES, onResponse, this::onFailure)
+        new ResponseCollector(core, waitMs + RESPONSE_TIMEOUT_MS, MAX_RESPONSE_BYTES, onResponse, this::onFailure)
                 .send(store, request, Unpooled.EMPTY_BUFFER, OPTIONS);
     }
 
@@ -144,19 +149,20 @@
     }
 
     private void onFailure(String reason) {
+        boolean waiting = core.nowMs() < responseDueMs;
         if (failingSinceMs < 0) {
-            failingSinceMs = core.nowMs();
+            failingSinceMs = Math.min(responseDueMs, core.nowMs());
             core.log().notice("store-lost", "reason", reason, "revision", watchFrom);
         }
         core.client().closeIdleConnections(store);
-        core.schedule(this::resume, RETRY_DELAY_MS);
+        core.schedule(this::resume, waiting ? 0 : RETRY_DELAY_MS);
     }
 
     private void resume() {
         if (watchFrom == 0) {
             list("");
         } else {
-            watch();
+            watch(0);
         }
     }
 }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakePlatformStore.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakePlatformStore.java
@@ -19,6 +19,10 @@
     private final HttpServer server;
     private final List<String> changes = new ArrayList<>();
     private final AtomicInteger watches = new AtomicInteger();
+    private int waitingWatches;
+    private int watchedRevision;
+    private int cuts;
+    private boolean down;
 
     FakePlatformStore() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
@@ -53,18 +57,52 @@
         return watches.get();
     }
 
+    /** Waits until a watch waits whose caller has read all changes. */
+    synchronized void awaitWaitingWatch() throws InterruptedException {
+        while (waitingWatches == 0 || watchedRevision < changes.size()) {
+            wait();
+        }
+    }
+
+    /** Closes the connections of the waiting watches without a response. */
+    synchronized void cutWaitingWatches() throws InterruptedException {
+        awaitWaitingWatch();
+        cuts++;
+        notifyAll();
+        while (waitingWatches > 0) {
+            wait();
+        }
+    }
+
+    /** Closes the connection of each watch without a response, from now on or no longer. */
+    synchronized void setDown(boolean down) {
+        this.down = down;
+        cuts++;
+        notifyAll();
+    }
+
     private synchronized void watch(HttpExchange exchange) throws IOException {
         watches.incrementAndGet();
         String query = exchange.getRequestURI().getQuery();
         int after = Integer.parseInt(query.replaceAll(".*after=(\\d+).*", "$1"));
         long untilMs = System.currentTimeMillis() + Long.parseLong(query.replaceAll(".*waitMs=(\\d+).*", "$1"));
+        int cutsBefore = cuts;
+        waitingWatches++;
+        watchedRevision = after;
+        notifyAll();
         try {
-            while (changes.size() <= after && System.currentTimeMillis() < untilMs) {
+            while (changes.size() <= after && cuts == cutsBefore && !down && System.currentTimeMillis() < untilMs) {
                 wait(Math.max(1, untilMs - System.currentTimeMillis()));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        waitingWatches--;
+        notifyAll();
+        if (cuts > cutsBefore || down) {
+            exchange.close();
+            return;
+        }
         answer(exchange, "events", after);
     }
 
