--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -30,6 +30,9 @@
     /** At the end of a response, makes the server close the connection after it. */
     static final String CLOSE = "\u0002";
 
+    /** Key of the caller's port in a request, which tells its connection from others. */
+    static final String CONNECTION = "connection port";
+
     private static final long PAUSE_MS = 5;
 
     private final ServerSocket listener;
@@ -151,6 +154,7 @@
                     send(socket, checkHealth(request), 0);
                     continue;
                 }
+                request.put(CONNECTION, String.valueOf(socket.getPort()));
                 arrivals.add(request);
                 Behavior current = behavior;
                 String answer = current.responder().apply(request);
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
@@ -110,7 +110,7 @@
         GatewayFixture.awaitReadiness(directory, 200);
     }
 
-    private static String events(String id) {
+    static String events(String id) {
         return "id: 1\ndata: " + id + "-1\n\nid: 2\ndata: " + id + "-2\n\n";
     }
 
@@ -126,7 +126,7 @@
     }
 
     /** Returns the body of a complete response with status 200, or "incomplete" or the status line of another one. */
-    private static String wholeBody(String answer) {
+    static String wholeBody(String answer) {
         int headEnd = answer.indexOf("\r\n\r\n") + 4;
         if (!answer.startsWith("HTTP/1.1 200 ")) {
             return answer.substring(0, Math.max(0, answer.indexOf("\r\n")));
