Never raise the saved retries with the portion of an instance

Servers of a pool could still get more retries than the budget of the deployment allows (BUDGET, own interface), and callers none after the clock was set back.

Cause: computes the limit from the age of the instance and counts used tokens. Until an instance knows the others, it takes the whole portion. When the others leave its view, the larger limit is available at once. A clock that is set back makes the age negative and the limit too.

A budget of an instance starts empty and is filled by calls, and by time once the others are known, 3 s after the start.

Open: instances that stay cut off from each other fill by the larger portion from then on, as each takes itself for the only one. A pool that an instance hasn't used before the others left its view counts as if they had been away all the time.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RetryBudgets.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/path/RetryBudgets.java
@@ -18,6 +18,8 @@
      * Time in which an instance accumulates its retries. It starts without any, since earlier runs may have used them.
      */
     private static final long SAVING_MS = 2 * WINDOW_MS;
+    /** Time after the start in which the fleet view may lack running instances. */
+    private static final long DISCOVERY_MS = 3_000;
     /** In a window, restarts in series add at most {@code WINDOW_MS / SAVING_MS} of these. */
     private static final int MAX_SAVED_RETRIES_WHEN_RUNNING =
             (int) (MAX_SAVED_RETRIES * SAVING_MS / (SAVING_MS + WINDOW_MS));
@@ -46,14 +48,15 @@
      * @return the budget of the pool
      */
     public RetryBudget of(PoolId pool) {
-        return budgets.computeIfAbsent(pool, id -> RetryBudget.of(RETRY_RATIO, this::maxSavedRetries));
+        return budgets.computeIfAbsent(
+                pool,
+                id -> RetryBudget.filling(
+                        RETRY_RATIO, this::maxSavedRetries, clock, startedAtMs, DISCOVERY_MS, SAVING_MS));
     }
 
-    /** Returns the accumulated retries that this instance may use so far. */
+    /** Returns the part of the accumulated retries that this instance may use; at least one. */
     private int maxSavedRetries() {
         int instances = state.fleet().peers().size() + 1;
-        int portion = Math.max(1, MAX_SAVED_RETRIES_WHEN_RUNNING / instances);
-        long ageMs = Math.min(clock.nowMs() - startedAtMs, SAVING_MS);
-        return (int) (portion * ageMs / SAVING_MS);
+        return Math.max(1, MAX_SAVED_RETRIES_WHEN_RUNNING / instances);
     }
 }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/path/RetryBudgetsTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/path/RetryBudgetsTest.java
@@ -18,6 +18,7 @@
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.timeline.EventSource;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -57,6 +58,79 @@
         assertThat(retries).isBetween(MAX_SAVED_RETRIES / 2, MAX_SAVED_RETRIES);
     }
 
+    /** Guards against instances that each take themselves for the only one until they know the others. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 35})
+    void shouldLimitTheRetriesOfInstancesThatDoNotKnowEachOtherYet(int count) {
+        List<RetryBudgets> restarted = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            InstanceView self = instance("i" + i);
+            restarted.add(new RetryBudgets(stateOf(self, List.of(self)), nowMs::get));
+        }
+        nowMs.addAndGet(WINDOW_MS / 4);
+
+        assertThat(retriesOf(restarted)).isLessThanOrEqualTo(MAX_SAVED_RETRIES);
+    }
+
+    /** Guards against retries that become available at once when the others leave the view of an instance. */
+    @Test
+    void shouldLimitTheRetriesOfInstancesThatForgetEachOther() {
+        List<InstanceView> instances = List.of(instance("a"), instance("b"), instance("c"), instance("d"));
+        List<SharedState> states =
+                instances.stream().map(instance -> stateOf(instance, instances)).toList();
+        List<RetryBudgets> running = states.stream()
+                .map(state -> new RetryBudgets(state, nowMs::get))
+                .toList();
+        nowMs.addAndGet(LONG_RUN_MS);
+        int retries = retriesOf(running);
+        states.forEach(
+                state -> state.replaceFleet(new FleetView(state.fleet().self(), List.of(), List.of(), nowMs.get())));
+        retries += retriesOf(running);
+
+        assertThat(retries).isLessThanOrEqualTo(MAX_SAVED_RETRIES);
+    }
+
+    /** Guards against retries that an idle pool accumulates for a time in which the others were still known. */
+    @Test
+    void shouldLimitTheRetriesOfAnIdlePoolWhoseInstancesForgetEachOther() {
+        List<InstanceView> instances = List.of(instance("a"), instance("b"), instance("c"), instance("d"));
+        List<SharedState> states =
+                instances.stream().map(instance -> stateOf(instance, instances)).toList();
+        List<RetryBudgets> running = states.stream()
+                .map(state -> new RetryBudgets(state, nowMs::get))
+                .toList();
+        running.forEach(budgets -> budgets.of(POOL).recordCall());
+        nowMs.addAndGet(LONG_RUN_MS);
+        states.forEach(
+                state -> state.replaceFleet(new FleetView(state.fleet().self(), List.of(), List.of(), nowMs.get())));
+
+        assertThat(retriesOf(running)).isLessThanOrEqualTo(MAX_SAVED_RETRIES);
+    }
+
+    /** Guards against an instance without retries after its clock was set back. */
+    @Test
+    void shouldKeepTheRetriesWhenTheClockIsSetBack() {
+        nowMs.set(LONG_RUN_MS);
+        List<RetryBudgets> running = startInstances(1);
+        nowMs.addAndGet(LONG_RUN_MS);
+        running.getFirst().of(POOL).tryAcquire();
+        nowMs.set(0);
+
+        assertThat(running.getFirst().of(POOL).tryAcquire()).isTrue();
+    }
+
+    /** Guards against calls that add no retries to an instance that has just started. */
+    @Test
+    void shouldAllowTheRetriesThatCallsAddFromTheStart() {
+        List<RetryBudgets> started = startInstances(35);
+        for (int i = 0; i < 100; i++) {
+            started.getFirst().of(POOL).recordCall();
+        }
+        nowMs.addAndGet(1_000);
+
+        assertThat(started.getFirst().of(POOL).tryAcquire()).isTrue();
+    }
+
     private List<RetryBudgets> startInstances(int count) {
         List<InstanceView> instances = new ArrayList<>();
         for (int i = 0; i < count; i++) {
