Accept a JSON value without a length that quotes a status line

Callers of the own interface got an error, or a repeated call, for a whole JSON answer without a length whose text contains a status line.

Cause: looks for a status line in all bodies without a length. A JSON value that is followed by another response is rejected already, since it has trailing tokens, so the status line in a whole one is always quoted.

Evidence: the new case {"lot":"HTTP/1.1 200 OK"} failed before in ServiceClientTest (1 of 46) and StreamClientTest (1 of 40), as cut. Green now, with the cases of second answers unchanged.

Only bodies that aren't JSON are judged by the status line. The ID of the request doesn't replace it there: the head of a second answer may be cut before its ID.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseBodyReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseBodyReader.java
@@ -21,18 +21,22 @@
 
     /**
      * Reads a body. A response without a length or chunks also ends when its server closes the connection early, so its
-     * body must be a whole value if it is JSON. All that its server sends until then is taken for its body, so it must
-     * not contain another response.
+     * body must be a whole value if it is JSON. All that its server sends until then is taken for its body, so one that
+     * isn't JSON must not contain another response.
      */
     static byte[] read(ServerId server, Response response, long maxBytes) throws IOException, UnusableBodyException {
         if (response.body().source().request(maxBytes)) {
             throw new UnusableBodyException(server, "exceeds " + maxBytes + " bytes");
         }
         byte[] body = response.body().bytes();
-        if (!isFramed(response) && isJson(response) && !isWholeValue(body)) {
-            throw new UnusableBodyException(server, "ends inside a JSON value");
+        if (isFramed(response)) {
+            return body;
         }
-        if (!isFramed(response) && containsResponse(body)) {
+        if (isJson(response)) {
+            if (!isWholeValue(body)) {
+                throw new UnusableBodyException(server, "ends inside a JSON value");
+            }
+        } else if (containsResponse(body)) {
             throw new UnusableBodyException(server, "is followed by another response");
         }
         return body;
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
@@ -54,6 +54,7 @@
         return Stream.of(
                 JSON + "\r\n{\"lot\":7}",
                 JSON + "\r\n{\"lot\":7}\r\n",
+                JSON + "\r\n{\"lot\":\"HTTP/1.1 200 OK\"}",
                 TEXT + "\r\nlot 7",
                 TEXT + "\r\nHTTP/1.1 is plain text");
     }
