--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
@@ -16,9 +16,11 @@
 
     private final Map<String, ServiceSpec> services;
     private final CallerLimits limits;
+    private final List<WorkspaceSpec> workspaces;
+    private final Map<String, WorkspaceSpec> workspacesByKey;
 
     /**
-     * Creates a configuration.
+     * Creates a configuration without workspaces.
      *
      * @param version version number; higher is newer
      * @param routes all routes
@@ -26,8 +28,30 @@
      * @param limits limits for callers
      */
     public Configuration(long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+        this(version, routes, services, limits, List.of());
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version version number; higher is newer
+     * @param routes all routes
+     * @param services all services
+     * @param limits limits for callers
+     * @param workspaces all workspaces; if there are none, requests need no API key
+     */
+    public Configuration(
+            long version,
+            List<Route> routes,
+            List<ServiceSpec> services,
+            CallerLimits limits,
+            List<WorkspaceSpec> workspaces) {
         this.version = version;
         this.limits = limits;
+        this.workspaces = List.copyOf(workspaces);
+        Map<String, WorkspaceSpec> specsByKey = new HashMap<>();
+        workspaces.forEach(workspace -> workspace.apiKeys().forEach(key -> specsByKey.put(key, workspace)));
+        this.workspacesByKey = Map.copyOf(specsByKey);
         Map<String, List<Route>> routeLists = new HashMap<>();
         for (Route route : routes) {
             routeLists.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -107,4 +131,32 @@
     public Map<String, ServiceSpec> services() {
         return services;
     }
+
+    /**
+     * Returns all workspaces.
+     *
+     * @return the workspaces, in the order of the configuration
+     */
+    public List<WorkspaceSpec> workspaces() {
+        return workspaces;
+    }
+
+    /**
+     * Returns whether requests need an API key, except those of public routes.
+     *
+     * @return true if workspaces are declared
+     */
+    public boolean hasWorkspaces() {
+        return !workspaces.isEmpty();
+    }
+
+    /**
+     * Returns the workspace that holds an API key.
+     *
+     * @param apiKey the key
+     * @return the workspace, empty if no workspace of this version holds the key
+     */
+    public Optional<WorkspaceSpec> workspaceOf(String apiKey) {
+        return Optional.ofNullable(workspacesByKey.get(apiKey));
+    }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/Route.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/Route.java
@@ -1,7 +1,9 @@
 package org.ibissaddle.route;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import org.ibissaddle.id.Region;
 
@@ -19,6 +21,7 @@
  * @param maxAttempts maximum number of servers to which one request may be sent
  * @param resumable whether another server may continue a stream after its last event
  * @param homeRegions regions that may serve the requests; empty for all
+ * @param isPublic whether requests need no API key
  */
 public record Route(
         String name,
@@ -31,7 +34,8 @@
         List<WeightedService> services,
         int maxAttempts,
         boolean resumable,
-        Set<Region> homeRegions) {
+        Set<Region> homeRegions,
+        boolean isPublic) {
     /** Makes defensive copies of the collections and converts the host to lower case. */
     public Route {
         host = host.toLowerCase(Locale.ROOT);
@@ -58,6 +62,36 @@
         return homeRegions.isEmpty() || homeRegions.contains(region);
     }
 
+    /**
+     * Returns the rule for the requests of a workspace: its priority and homes restrict those of this route.
+     *
+     * @param workspace the workspace
+     * @return the rule, empty if the homes of the route and the workspace have no region in common
+     */
+    public Optional<Route> forWorkspace(WorkspaceSpec workspace) {
+        Set<Region> homes = new HashSet<>(homeRegions.isEmpty() ? workspace.homeRegions() : homeRegions);
+        boolean bothBound = !homeRegions.isEmpty() && !workspace.homeRegions().isEmpty();
+        if (bothBound) {
+            homes.retainAll(workspace.homeRegions());
+        }
+        if (bothBound && homes.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new Route(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                targetLatencyMs,
+                workspace.priority().orElse(priority),
+                services,
+                maxAttempts,
+                resumable,
+                homes,
+                isPublic));
+    }
+
     /**
      * Selects the service of a request by weight. The same request id selects the same service on all instances.
      *
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionSelectorTest.java
@@ -130,7 +130,8 @@
                 List.of(new WeightedService(ENGINES, 1)),
                 1,
                 false,
-                homeRegions);
+                homeRegions,
+                false);
     }
 
     private Optional<Region> chosenRegion(RequestDemand demand, Route route) {
--- a/ibissaddle-core/src/test/java/org/ibissaddle/route/ConfigurationTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/route/ConfigurationTest.java
@@ -3,8 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.id.Region;
+import org.ibissaddle.id.WorkspaceId;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -21,7 +26,8 @@
                 List.of(new WeightedService("a", 90), new WeightedService("b", 10)),
                 2,
                 resumable,
-                Set.of(new Region("north")));
+                Set.of(new Region("north")),
+                false);
     }
 
     private final Configuration configuration = new Configuration(
@@ -86,4 +92,60 @@
             assertThat(toA).isBetween(8_800, 9_200);
         }
     }
+
+    @Nested
+    class Workspaces {
+        private final WorkspaceSpec yards = workspace("yards", "key-1", OptionalInt.of(3), "north");
+
+        private static WorkspaceSpec workspace(String name, String key, OptionalInt priority, String... homes) {
+            Set<Region> regions = Stream.of(homes).map(Region::new).collect(Collectors.toSet());
+            return new WorkspaceSpec(new WorkspaceId(name), Set.of(key), priority, regions, Quota.UNLIMITED);
+        }
+
+        @Test
+        void shouldFindTheWorkspaceOfAKey() {
+            Configuration keyed = new Configuration(1, List.of(), List.of(), CallerLimits.DEFAULT, List.of(yards));
+
+            assertThat(keyed.hasWorkspaces()).isTrue();
+            assertThat(keyed.workspaceOf("key-1")).contains(yards);
+            assertThat(keyed.workspaceOf("KEY-1")).isEmpty();
+            assertThat(configuration.hasWorkspaces()).isFalse();
+        }
+
+        @Test
+        void shouldNotPrintKeys() {
+            assertThat(yards.toString()).doesNotContain("key-1");
+        }
+
+        @Test
+        void shouldReplaceThePriorityOfTheRoute() {
+            Route shop = route("r", "/", RequestKind.IDEMPOTENT, false);
+
+            assertThat(shop.forWorkspace(yards)).map(Route::priority).hasValue(3);
+            assertThat(shop.forWorkspace(workspace("b", "k", OptionalInt.empty())))
+                    .map(Route::priority)
+                    .hasValue(0);
+        }
+
+        @Test
+        void shouldAllowOnlyRegionsThatRouteAndWorkspaceAllow() {
+            Route shop = route("r", "/", RequestKind.IDEMPOTENT, false);
+
+            assertThat(shop.forWorkspace(workspace("b", "k", OptionalInt.empty(), "south", "north")))
+                    .map(Route::homeRegions)
+                    .hasValue(Set.of(new Region("north")));
+            assertThat(shop.forWorkspace(workspace("c", "k", OptionalInt.empty(), "south")))
+                    .isEmpty();
+        }
+
+        @Test
+        void shouldCountRequestsWithoutTokensAtTheirFixedCost() {
+            Quota tokens = new Quota(QuotaUnit.TOKENS, 1_000, 1_000, 200);
+
+            assertThat(tokens.cost(new RequestDemand("m", 300, 50, List.of()))).isEqualTo(350);
+            assertThat(tokens.cost(RequestDemand.PLAIN)).isEqualTo(200);
+            assertThat(new Quota(QuotaUnit.REQUESTS, 5, 5, 200).cost(new RequestDemand("m", 300, 50, List.of())))
+                    .isEqualTo(1);
+        }
+    }
 }
