Workspaces: requests need an API key, and servers learn the workspace instead of it

The configuration's workspaces were read but not used: every request was served, and servers saw the callers' Authorization header.

A request is now checked from its head (401 before its body is read), when it starts, at each attempt to place it and before each retry (RequestAccess, AccessCheck). Without workspaces, requests and headers are handled as before.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -31,8 +32,11 @@
 import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.platform.StoreItemDecoder;
 import org.ibissaddle.port.Clock;
+import org.ibissaddle.route.Access;
+import org.ibissaddle.route.AccessCheck;
 import org.ibissaddle.route.CallerLimits;
 import org.ibissaddle.route.Configuration;
+import org.ibissaddle.route.Credentials;
 import org.ibissaddle.route.EngineSpec;
 import org.ibissaddle.route.Route;
 import org.ibissaddle.route.ServiceSpec;
@@ -264,7 +268,7 @@
     /** An error that is detected from the head of a request, before its body is read. */
     record HeadError(HttpResponseStatus status, String reason) {}
 
-    Optional<HeadError> checkHead(HttpRequest head) {
+    Optional<HeadError> checkHead(HttpRequest head, boolean forwarded) {
         String host = head.headers().get("Host");
         if (host == null || !head.uri().startsWith("/")) {
             return Optional.of(new HeadError(
@@ -278,12 +282,44 @@
             return Optional.of(
                     new HeadError(HttpResponseStatus.NOT_FOUND, "no route matches the host and path of the request"));
         }
+        Optional<HeadError> denied = checkAccess(route.get(), head, forwarded);
+        if (denied.isPresent()) {
+            return denied;
+        }
         if (draining && mayOutliveDrain(route.get(), head)) {
             return Optional.of(new HeadError(HttpResponseStatus.SERVICE_UNAVAILABLE, "the instance is stopping"));
         }
         return Optional.empty();
     }
 
+    /** A request that no server of this region may run is rejected before its body has been sent here. */
+    private Optional<HeadError> checkAccess(Route route, HttpRequest head, boolean forwarded) {
+        return switch (access(route, head.headers(), forwarded)) {
+            case Access.Granted granted ->
+                granted.keyed() && forwarded && !granted.route().allows(settings.region())
+                        ? Optional.of(new HeadError(
+                                HttpResponseStatus.SERVICE_UNAVAILABLE, "this region is no home of the request"))
+                        : Optional.empty();
+            case Access.Unauthorized unauthorized ->
+                Optional.of(new HeadError(HttpResponseStatus.UNAUTHORIZED, unauthorized.reason()));
+            case Access.Unavailable unavailable ->
+                Optional.of(new HeadError(HttpResponseStatus.SERVICE_UNAVAILABLE, unavailable.reason()));
+        };
+    }
+
+    /** Checks a request against the configuration in force, which must be known. */
+    Access access(Route route, HttpHeaders headers, boolean forwarded) {
+        Credentials credentials = new Credentials(
+                HeaderDecoder.decodeApiKey(headers.getAll(PlatformHeaders.AUTHORIZATION)),
+                forwarded,
+                Optional.ofNullable(headers.get(InternalHeaders.WORKSPACE)));
+        return AccessCheck.check(catalog.configuration().orElseThrow(), route, credentials, true);
+    }
+
+    boolean hasWorkspaces() {
+        return catalog.configuration().map(Configuration::hasWorkspaces).orElse(false);
+    }
+
     /** Whether a request that arrives late in the drain could still run when the process has to exit. */
     private boolean mayOutliveDrain(Route route, HttpRequest head) {
         if (nowMs() < drainStartMs + DRAIN_ACCEPT_MS) {
@@ -317,6 +353,9 @@
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             headers.set("Retry-After", RETRY_AFTER_S);
         }
+        if (status.equals(HttpResponseStatus.UNAUTHORIZED)) {
+            headers.set(HttpHeaderNames.WWW_AUTHENTICATE, PlatformHeaders.AUTHENTICATION_SCHEME);
+        }
         if (toPeer) {
             headers.set(InternalHeaders.OUTCOME, provenNotRun ? InternalHeaders.NOT_RUN : InternalHeaders.UNKNOWN);
             InternalHeaders.setReachedServer(headers, mayHaveReachedServer);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -235,7 +235,11 @@
         if (fromPeer && core.peerGossip().isPeerMessage(head)) {
             return;
         }
-        core.checkHead(head).ifPresent(refusal -> refuse(refusal.status(), refusal.reason(), false));
+        // A caller that waits for 100 Continue may leave out the body after a refusal, and the next request would then
+        // be read as that body.
+        boolean bodyAwaitsAnswer = core.hasWorkspaces() && HttpUtil.is100ContinueExpected(head);
+        core.checkHead(head, fromPeer)
+                .ifPresent(refusal -> refuse(refusal.status(), refusal.reason(), bodyAwaitsAnswer));
         if (!discardBody && HttpUtil.is100ContinueExpected(head)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -299,7 +303,9 @@
                         "status",
                         status.code(),
                         "reason",
-                        reason);
+                        reason,
+                        "configuration",
+                        core.configurationVersion());
     }
 
     private void refuseMalformed(Throwable cause) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InternalHeaders.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InternalHeaders.java
@@ -14,6 +14,9 @@
     /** Set on an error response that an instance itself creates: whether the request may have reached a server. */
     static final String REACHED_SERVER = "X-Ibissaddle-Reached-Server";
 
+    /** Name of the workspace that the instance that forwarded the request found for its API key. */
+    static final String WORKSPACE = "X-Ibissaddle-Workspace";
+
     private static final String NO = "no";
     private static final String MAYBE = "maybe";
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestContent.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestContent.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.id.Region;
-import org.ibissaddle.route.Route;
 
 /** The content of a request, by which the quarantine recognises it when it comes again under another id. */
 final class RequestContent {
@@ -22,13 +21,13 @@
 
     private final IncomingRequest request;
     private final RequestDemand demand;
-    private final Route route;
+    private final RequestAccess access;
     private String fingerprint = "";
 
-    RequestContent(IncomingRequest request, RequestDemand demand, Route route) {
+    RequestContent(IncomingRequest request, RequestDemand demand, RequestAccess access) {
         this.request = request;
         this.demand = demand;
-        this.route = route;
+        this.access = access;
     }
 
     /** Returns the ids of the prompt parts that other requests share. */
@@ -38,7 +37,7 @@
 
     /** Returns the regions that the content is bound to, empty if it is unbound. */
     Set<Region> homes() {
-        return route.homeRegions();
+        return access.route().homeRegions();
     }
 
     /**
@@ -57,7 +56,7 @@
         update(digest, request.method().name());
         update(digest, header(HttpHeaderNames.HOST.toString()));
         update(digest, request.target());
-        update(digest, header(HttpHeaderNames.AUTHORIZATION.toString()));
+        update(digest, caller());
         ByteBuf body = request.body();
         for (ByteBuffer bytes : body.nioBuffers(body.readerIndex(), body.readableBytes())) {
             digest.update(bytes);
@@ -65,6 +64,13 @@
         return HexFormat.of().formatHex(Arrays.copyOf(digest.digest(), FINGERPRINT_BYTES));
     }
 
+    /** Other instances learn the fingerprint, so that it must not depend on an API key. */
+    private String caller() {
+        return access.isKeyed()
+                ? access.workspace().map(workspace -> workspace.id().name()).orElse("")
+                : header(HttpHeaderNames.AUTHORIZATION.toString());
+    }
+
     private String header(String name) {
         return Optional.ofNullable(request.header(name)).orElse("");
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -29,6 +29,7 @@
 import org.ibissaddle.quarantine.RefusedContent;
 import org.ibissaddle.route.RequestKind;
 import org.ibissaddle.route.Route;
+import org.ibissaddle.route.WorkspaceSpec;
 
 /** Processes one request from its arrival to its final response. Confined to the event loop. */
 final class RequestExchange {
@@ -62,7 +63,11 @@
     private final RequestLog log;
     private final Set<ServerId> triedServers = new HashSet<>();
     private final Set<Address> triedPeers = new HashSet<>();
+    private RequestAccess access;
+    /** The matched route with the priority and the homes of the workspace. */
     private Route route;
+
+    private int queuePriority;
     private String service = "";
     private RequestDemand demand = RequestDemand.PLAIN;
     private RequestContent content;
@@ -119,13 +124,17 @@
             refuse(HttpResponseStatus.NOT_FOUND, "no route matches the host and path of the request");
             return;
         }
-        route = found.get();
+        access = new RequestAccess(core, request, found.get());
+        if (refuseIfAccessDenied()) {
+            return;
+        }
+        queuePriority = route.priority();
         service = route.serviceFor(id);
         demand = HeaderDecoder.decodeDemand(
                 request.header(PlatformHeaders.MODEL),
                 request.header(PlatformHeaders.TOKENS),
                 request.header(PlatformHeaders.PROMPT_PARTS));
-        content = new RequestContent(request, demand, route);
+        content = new RequestContent(request, demand, access);
         suspect = core.crashGuard().isSuspect(content);
         deadlineMs = request.arrivedMs() + GatewayCore.effectiveTimeoutMs(route, request.headers());
         waitUntilMs = request.arrivedMs()
@@ -152,7 +161,7 @@
         if (!isStillWanted()) {
             return;
         }
-        if (refuseIfCrashing()) {
+        if (refuseIfAccessDenied() || refuseIfCrashing()) {
             return;
         }
         if (core.nowMs() >= waitUntilMs) {
@@ -172,6 +181,11 @@
             sendToPeer(peer.get());
             return;
         }
+        if (!isLocalAllowed()) {
+            waiting = false;
+            refuseUnavailable("no instance of a home region of route " + route.name() + " can serve the request");
+            return;
+        }
         if (selection instanceof ServerSelectionResult.HeldOff held && held.untilMs() > waitUntilMs) {
             waiting = false;
             refuseUnavailable(held.reason());
@@ -198,8 +212,14 @@
         return true;
     }
 
+    /** Priority in the queue. It stays the same while the request waits, since the queue is ordered by it. */
     int priority() {
-        return route.priority();
+        return queuePriority;
+    }
+
+    /** Returns the workspace of the request, empty if its route is public or the configuration has no workspaces. */
+    Optional<WorkspaceSpec> workspace() {
+        return access == null ? Optional.empty() : access.workspace();
     }
 
     long arrivedMs() {
@@ -245,13 +265,10 @@
         if (!isStillWanted()) {
             return;
         }
-        if (refuseIfCrashing()) {
+        if (refuseIfAccessDenied() || refuseIfCrashing()) {
             return;
         }
-        boolean localAllowed = route.allows(core.settings().region());
-        ServerSelectionResult localSelection = localAllowed
-                ? choose()
-                : new ServerSelectionResult.NoServer("this region is no home of route " + route.name());
+        ServerSelectionResult localSelection = choose();
         Optional<PeerState> peer = choosePeer(localSelection);
         if (peer.isPresent()) {
             sendToPeer(peer.get());
@@ -265,6 +282,26 @@
         }
     }
 
+    /** Refuses a request whose API key is not or no longer valid; returns whether it did. */
+    private boolean refuseIfAccessDenied() {
+        Optional<GatewayCore.HeadError> denial = access.check();
+        if (denial.isEmpty()) {
+            route = access.route();
+            return false;
+        }
+        waiting = false;
+        if (mayHaveRun) {
+            fail(denial.get().reason());
+        } else {
+            refuse(denial.get().status(), denial.get().reason());
+        }
+        return true;
+    }
+
+    private boolean isLocalAllowed() {
+        return route.allows(core.settings().region());
+    }
+
     /** Refuses a request whose content has crashed servers; returns whether it did. */
     private boolean refuseIfCrashing() {
         refusedContent = core.crashGuard().check(content);
@@ -307,13 +344,16 @@
     }
 
     private ServerSelectionResult choose() {
+        if (!isLocalAllowed()) {
+            return new ServerSelectionResult.NoServer("this region is no home of route " + route.name());
+        }
         return core.backends().selectServer(service, demand, triedServers, core.coldRateShare(), core.nowMs());
     }
 
     private void sendToServer(ServerSelectionResult.Selected selection) {
         BackendServer server = selection.server();
         triedServers.add(server.entry().id());
-        HttpRequest head = createHead();
+        HttpRequest head = createHead(access.headersForServer());
         head.headers().set(PlatformHeaders.EXPECTED_SERVER, server.entry().id().name());
         int copiedTokens = 0;
         if (selection.cacheSource().isPresent()) {
@@ -332,7 +372,7 @@
 
     private void sendToPeer(PeerState peer) {
         triedPeers.add(peer.peerAddress());
-        HttpRequest head = createHead();
+        HttpRequest head = createHead(access.headersForInstance());
         head.headers().set(InternalHeaders.FORWARDED_BY, core.settings().name().name());
         core.metrics().recordForward(service);
         Endpoint endpoint = new Endpoint(peer.id().name(), peer.peerAddress());
@@ -352,8 +392,7 @@
         attempt.start(head, body, new HttpClient.SendOptions(maxIdleMs, connectTimeoutMs));
     }
 
-    private HttpRequest createHead() {
-        HttpHeaders headers = RequestHeaders.forRequest(request);
+    private HttpRequest createHead(HttpHeaders headers) {
         if (demand.promptTokens() > 0) {
             headers.set(PlatformHeaders.PRIORITY, Math.min(LOWEST_PRIORITY, route.priority()));
         }
@@ -403,6 +442,7 @@
     boolean canRetry(AttemptPolicy.ExecutionEvidence evidence) {
         return next(evidence, possibleRuns + 1) == AttemptPolicy.RetryDecision.RETRY
                 && core.nowMs() < deadlineMs
+                && access.isHeld()
                 && core.retryBudget(service).canAcquire(core.peers().deploymentSize(core.nowMs()), core.nowMs());
     }
 
@@ -419,6 +459,7 @@
         boolean timeLeft = core.nowMs() < deadlineMs;
         boolean allowed = next == AttemptPolicy.RetryDecision.RETRY
                 && timeLeft
+                && access.isHeld()
                 && (!countsAsRetry
                         || core.retryBudget(service)
                                 .tryAcquire(core.peers().deploymentSize(core.nowMs()), core.nowMs()));
@@ -430,6 +471,9 @@
             place();
             return;
         }
+        if (next == AttemptPolicy.RetryDecision.RETRY && timeLeft && refuseIfAccessDenied()) {
+            return;
+        }
         fail(reason);
     }
 
@@ -501,7 +545,8 @@
             return;
         }
         core.metrics().recordRefusal(service, status.code());
-        log.refused(route == null ? "" : route.name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
+        log.refused(
+                access == null ? "" : access.route().name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun, mayHaveReachedServer);
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
@@ -518,9 +563,7 @@
         if (route == null) {
             return OptionalLong.empty();
         }
-        return route.allows(core.settings().region())
-                ? core.backends().heldOffUntilMs(service, core.nowMs())
-                : peerRetryAtMs;
+        return isLocalAllowed() ? core.backends().heldOffUntilMs(service, core.nowMs()) : peerRetryAtMs;
     }
 
     /** Returns the time until then in seconds, rounded up to a tenth. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import org.ibissaddle.platform.PlatformHeaders;
+import org.ibissaddle.route.WorkspaceSpec;
 
 /** Copies headers for the next hop without the hop-by-hop headers. */
 final class RequestHeaders {
@@ -25,7 +27,8 @@
             "Expect",
             InternalHeaders.FORWARDED_BY,
             InternalHeaders.OUTCOME,
-            InternalHeaders.REACHED_SERVER);
+            InternalHeaders.REACHED_SERVER,
+            InternalHeaders.WORKSPACE);
     private static final Set<String> DROPPED_FROM_REQUESTS = names(HOP_BY_HOP, PlatformHeaders.RESERVED);
     private static final Set<String> DROPPED_FROM_RESPONSES = names(HOP_BY_HOP, List.of("Content-Length"));
     private static final Set<String> END_TO_END = names(PlatformHeaders.END_TO_END, List.of());
@@ -42,6 +45,42 @@
         return headers;
     }
 
+    /**
+     * Returns the headers of a request to a server when the configuration has workspaces: the name of the workspace
+     * instead of the API key.
+     */
+    static HttpHeaders forServer(IncomingRequest request, Optional<WorkspaceSpec> workspace) {
+        HttpHeaders headers = withoutIdentity(request);
+        workspace.ifPresent(
+                known -> headers.set(PlatformHeaders.WORKSPACE, known.id().name()));
+        return headers;
+    }
+
+    /**
+     * Returns the headers of a request to another instance when the configuration has workspaces. The API key is kept,
+     * because the other instance checks it against its own configuration.
+     */
+    static HttpHeaders forInstance(IncomingRequest request, Optional<WorkspaceSpec> workspace) {
+        HttpHeaders headers = withoutIdentity(request);
+        workspace.ifPresent(known -> {
+            headers.set(PlatformHeaders.AUTHORIZATION, request.header(PlatformHeaders.AUTHORIZATION));
+            headers.set(InternalHeaders.WORKSPACE, known.id().name());
+        });
+        return headers;
+    }
+
+    /** Some servers read an underscore in the name of a header as a hyphen, so that both spellings are removed. */
+    private static HttpHeaders withoutIdentity(IncomingRequest request) {
+        HttpHeaders headers = forRequest(request);
+        headers.remove(PlatformHeaders.AUTHORIZATION);
+        for (String name : headers.names()) {
+            if (name.replace('_', '-').equalsIgnoreCase(PlatformHeaders.WORKSPACE)) {
+                headers.remove(name);
+            }
+        }
+        return headers;
+    }
+
     /** Returns the headers of a server's response to relay, without its length. */
     static HttpHeaders forResponse(HttpHeaders response) {
         return copy(response, DROPPED_FROM_RESPONSES);
