Spread forwarded requests over the instances of another region

Each instance now chooses among three regular targets of the region with the shortest average wait, by rendezvous hash of its own name, so that the load spreads and connections between regions are reused.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/RendezvousHash.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/internal/membership/RendezvousHash.java
@@ -1,7 +1,10 @@
 package org.ibissaddle.internal.membership;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.route.HashMixer;
 
@@ -51,6 +54,22 @@
         return rank;
     }
 
+    /**
+     * Returns the first candidates for a key.
+     *
+     * @param key the key
+     * @param candidates names to choose from
+     * @param limit maximum number of candidates
+     * @return the candidates with the highest scores
+     */
+    public static Set<InstanceId> first(String key, Collection<InstanceId> candidates, int limit) {
+        return candidates.stream()
+                .sorted(Comparator.comparingLong((InstanceId candidate) -> score(key, candidate.name()))
+                        .reversed())
+                .limit(limit)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private static long score(String key, String candidate) {
         long hash = 0xcbf29ce484222325L;
         hash = appendHash(hash, key);
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -11,6 +11,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
@@ -45,6 +46,9 @@
     /** Number of instances of other regions to which the instances of a region send in one round. */
     private static final int REMOTE_TARGETS_PER_REGION = 4;
 
+    /** Number of instances of another region among which an instance chooses when it forwards. */
+    private static final int REGULAR_TARGETS = 3;
+
     private final InstanceId self;
     private final Region localRegion;
     private final boolean expectsOthers;
@@ -322,24 +326,51 @@
     }
 
     /**
-     * Selects the instance of another region to forward a request to.
+     * Selects the instance of another region to forward a request to: one of those to which the local instance forwards
+     * regularly, in the region with the shortest predicted wait. The few regular targets differ from instance to
+     * instance, so that a region's requests spread over all instances of another one, and connections to them are
+     * reused.
      *
      * @param service the service
      * @param allowed regions that may serve the request; empty when all may
      * @param localRegion the local region, which is excluded
      * @param tried instances to which the request was already sent
      * @param nowMs current time, milliseconds
-     * @return the ready instance with the shortest predicted wait, and the most free slots among equals; empty when
-     *     there is none
+     * @return the ready instance with the shortest predicted wait among the regular targets; empty when there is none
      */
     public Optional<PeerState> bestRemotePeer(
             String service, Set<Region> allowed, Region localRegion, Set<Address> tried, long nowMs) {
-        return alive(nowMs).stream()
+        List<PeerState> remote = alive(nowMs).stream()
                 .filter(PeerState::ready)
                 .filter(state -> !state.region().equals(localRegion))
                 .filter(state -> allowed.isEmpty() || allowed.contains(state.region()))
                 .filter(state -> !tried.contains(state.peerAddress()))
                 .filter(state -> state.services().containsKey(service))
+                .toList();
+        List<PeerState> withRoom = remote.stream()
+                .filter(state -> state.services().get(service).freeSlots() > 0)
+                .toList();
+        return regularTarget(service, withRoom.isEmpty() ? remote : withRoom);
+    }
+
+    private Optional<PeerState> regularTarget(String service, List<PeerState> candidates) {
+        Optional<Region> region = candidates.stream()
+                .collect(Collectors.groupingBy(
+                        PeerState::region,
+                        Collectors.averagingLong(
+                                state -> state.services().get(service).waitMs())))
+                .entrySet()
+                .stream()
+                .min(Map.Entry.<Region, Double>comparingByValue()
+                        .thenComparing(entry -> entry.getKey().name()))
+                .map(Map.Entry::getKey);
+        List<PeerState> inRegion = candidates.stream()
+                .filter(state -> region.equals(Optional.of(state.region())))
+                .toList();
+        Set<InstanceId> regular = RendezvousHash.first(
+                self.name(), inRegion.stream().map(PeerState::id).toList(), REGULAR_TARGETS);
+        return inRegion.stream()
+                .filter(state -> regular.contains(state.id()))
                 .min(Comparator.comparingLong((PeerState state) ->
                                 state.services().get(service).waitMs())
                         .thenComparing(state -> state.services().get(service).freeSlots(), Comparator.reverseOrder()));
