Reuse connections to other instances for requests that run at most once

Such requests reused a connection only within 400 ms of its last use, because backend servers drop idle connections without notice. Instances do not, and a new connection to another region costs a round trip of 110 ms before the request is sent; their connections are now reused for 3 s by all requests.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -43,6 +43,11 @@
     private static final long NON_REPEATABLE_MAX_IDLE_MS = 400;
     /** Maximum idle time of a pooled connection that is reused for a repeatable request, milliseconds. */
     private static final long REPEATABLE_MAX_IDLE_MS = 3_000;
+    /**
+     * Maximum idle time of a pooled connection to another instance, milliseconds. Instances do not drop idle
+     * connections without notice, and a new connection to another region costs a round trip.
+     */
+    private static final long PEER_MAX_IDLE_MS = 3_000;
     /** Maximum time that a request waits for the first configuration after the process starts, milliseconds. */
     private static final long MAX_CONFIGURATION_WAIT_MS = 500;
     /** Timeout for opening a connection within a region, milliseconds. */
@@ -386,12 +391,19 @@
             Optional<BackendServer.RequestHandle> placed,
             int connectTimeoutMs) {
         sends++;
-        long maxIdleMs = route.isRetryable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
+        long maxIdleMs = maxIdleMs(server.isEmpty());
         ByteBuf body = request.body().retainedDuplicate();
         attempt = new Attempt(core, this, endpoint, server, placed, demand, id);
         attempt.start(head, body, new HttpClient.SendOptions(maxIdleMs, connectTimeoutMs));
     }
 
+    private long maxIdleMs(boolean toPeer) {
+        if (toPeer) {
+            return PEER_MAX_IDLE_MS;
+        }
+        return route.isRetryable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
+    }
+
     private HttpRequest createHead(HttpHeaders headers) {
         if (demand.promptTokens() > 0) {
             headers.set(PlatformHeaders.PRIORITY, Math.min(LOWEST_PRIORITY, route.priority()));
