--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeedEstimate.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeedEstimate.java
@@ -1,5 +1,7 @@
 package org.ibissaddle.backend;
 
+import java.util.OptionalDouble;
+
 /** Estimates the prefill speed of the servers of a service and the time between events of their streams. */
 final class EngineSpeedEstimate {
     /** Prefill time assumed before the first sample: 60 tokens per millisecond, the speed of a mid-sized engine. */
@@ -17,9 +19,15 @@
     private double prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
     private double fixedOverheadMs;
     private double idleGapMs = INITIAL_IDLE_GAP_MS;
+    private double shortFirstEventMs;
+    private long shortFirstEvents;
+    private double meanGapMs;
+    private long gaps;
 
     void observePrefill(long tokens, long tookMs) {
         if (tokens < MIN_PREFILL_SAMPLE_TOKENS) {
+            shortFirstEvents++;
+            shortFirstEventMs += (tookMs - shortFirstEventMs) * averageWeight(shortFirstEvents);
             fixedOverheadMs += (tookMs - fixedOverheadMs) * SMOOTHING;
             return;
         }
@@ -28,6 +36,8 @@
     }
 
     void observeGap(double gapMs) {
+        gaps++;
+        meanGapMs += (gapMs - meanGapMs) * averageWeight(gaps);
         idleGapMs = gapMs < idleGapMs
                 ? idleGapMs + (gapMs - idleGapMs) * SMOOTHING
                 : idleGapMs + (gapMs - idleGapMs) * IDLE_GAP_RISE_SMOOTHING;
@@ -38,6 +48,29 @@
         return idleGapMs;
     }
 
+    /** Returns the average time between events under the current load in milliseconds, empty without a sample. */
+    OptionalDouble meanGapMs() {
+        return gaps == 0 ? OptionalDouble.empty() : OptionalDouble.of(meanGapMs);
+    }
+
+    /**
+     * Predicts the time to the first event of a response in milliseconds; for a plain service the response time.
+     *
+     * @return empty without a sample of a short prompt
+     */
+    OptionalDouble firstEventMs(long tokensAhead) {
+        if (shortFirstEvents == 0) {
+            return OptionalDouble.empty();
+        }
+        double prefillMs = tokensAhead < MIN_PREFILL_SAMPLE_TOKENS ? 0 : prefillMs((double) tokensAhead);
+        return OptionalDouble.of(shortFirstEventMs + prefillMs);
+    }
+
+    /** Weight of the latest sample: the average of all samples at first, then a moving one. */
+    private static double averageWeight(long samples) {
+        return Math.max(SMOOTHING, 1.0 / samples);
+    }
+
     /** Predicts the prefill time of a number of tokens in milliseconds. */
     double prefillMs(double tokens) {
         return tokens * prefillMsPerToken;
