Strict revocation: an instance that is cut off stops to accept API keys

An instance that is partitioned from the store and from all other instances accepts revoked keys for as long as the partition lasts. With the optional setting strict-revoke it now answers 503 to requests that need a key once its configuration has not been confirmed for revoke-ms: by an answer of the store, or by a message of an instance that reaches the store and has seen no higher revision, or whose answer brought all changes that the local instance lacked (ConfigurationConfirmation). Changes for an instance that the store turns away are now sent in the order of their revisions when there are more than fit into one message; before, none were sent.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -26,6 +26,7 @@
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.daemon.log.DecisionLog;
 import org.ibissaddle.dispatch.SharedRetryBudget;
+import org.ibissaddle.peer.ConfigurationConfirmation;
 import org.ibissaddle.peer.PeerTable;
 import org.ibissaddle.peer.RegionSelector;
 import org.ibissaddle.platform.HeaderDecoder;
@@ -59,6 +60,7 @@
     private final long startedMs;
     private final DecisionLog log;
     private final Catalog catalog = new Catalog(new StoreItemDecoder());
+    private final ConfigurationConfirmation confirmation = new ConfigurationConfirmation();
     private final BackendRegistry backends;
     private final PeerTable peers;
     private final RegionSelector regions;
@@ -120,6 +122,10 @@
         return catalog;
     }
 
+    ConfigurationConfirmation confirmation() {
+        return confirmation;
+    }
+
     BackendRegistry backends() {
         return backends;
     }
@@ -313,7 +319,13 @@
                 HeaderDecoder.decodeApiKey(headers.getAll(PlatformHeaders.AUTHORIZATION)),
                 forwarded,
                 Optional.ofNullable(headers.get(InternalHeaders.WORKSPACE)));
-        return AccessCheck.check(catalog.configuration().orElseThrow(), route, credentials, true);
+        return AccessCheck.check(catalog.configuration().orElseThrow(), route, credentials, isConfirmed());
+    }
+
+    /** Whether the configuration may decide on API keys, which may have been revoked in a later one. */
+    private boolean isConfirmed() {
+        GatewaySettings.Revocation revocation = settings.platformLimits().revocation();
+        return !revocation.strict() || confirmation.isRecent(revocation.revokeMs(), nowMs());
     }
 
     boolean hasWorkspaces() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettings.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettings.java
@@ -72,7 +72,25 @@
      * @param retrySlack retries allowed beyond the ratio in a window
      * @param stopGraceMs time from the stop signal until the process is killed, milliseconds
      * @param directoryTtlS maximum time to live of a directory response, seconds
+     * @param revocation how API keys are revoked
      */
     public record PlatformLimits(
-            double retryRatio, long retryWindowMs, double retrySlack, long stopGraceMs, int directoryTtlS) {}
+            double retryRatio,
+            long retryWindowMs,
+            double retrySlack,
+            long stopGraceMs,
+            int directoryTtlS,
+            Revocation revocation) {}
+
+    /**
+     * How API keys are revoked.
+     *
+     * @param strict whether requests that need a key are rejected while the configuration is unconfirmed
+     * @param revokeMs time within which a revoked key takes effect, and after which a configuration is unconfirmed,
+     *     milliseconds
+     */
+    public record Revocation(boolean strict, long revokeMs) {
+        /** Revocation of a platform that sets nothing. */
+        public static final Revocation DEFAULT = new Revocation(false, 5_000);
+    }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettingsReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettingsReader.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Function;
 import org.apache.commons.configuration2.INIConfiguration;
@@ -24,6 +25,7 @@
 /** Reads the settings of a gateway instance from INI and reports all faults at once. Unknown keys are ignored. */
 public final class GatewaySettingsReader {
     private static final int MS_PER_SECOND = 1_000;
+    private static final double MAX_REVOKE_MS = 3_600_000;
     private static final int MAX_PORT = 65_535;
     private static final String ADDRESS_FORMAT = "IP:PORT";
     private static final String NAME_FORMAT = "letters, digits, dots, underscores, colons and hyphens";
@@ -124,7 +126,30 @@
                 (long) (number("bounds", "retry-window-s", 1, 3_600) * MS_PER_SECOND),
                 number("bounds", "retry-slack", 0, Integer.MAX_VALUE),
                 (long) (number("bounds", "stop-grace-s", 0, 3_600) * MS_PER_SECOND),
-                (int) number("bounds", "directory-ttl-s", 1, 3_600));
+                (int) number("bounds", "directory-ttl-s", 1, 3_600),
+                revocation());
+    }
+
+    private GatewaySettings.Revocation revocation() {
+        GatewaySettings.Revocation defaults = GatewaySettings.Revocation.DEFAULT;
+        long revokeMs = text("bounds", "revoke-ms").isEmpty()
+                ? defaults.revokeMs()
+                : (long) number("bounds", "revoke-ms", 1, MAX_REVOKE_MS);
+        return new GatewaySettings.Revocation(flag("bounds", "strict-revoke", defaults.strict()), revokeMs);
+    }
+
+    /** Reads an optional flag; the platform renders a value that it lacks as empty text. */
+    private boolean flag(String section, String key, boolean whenEmpty) {
+        String text = text(section, key);
+        return switch (text.toLowerCase(Locale.ROOT)) {
+            case "" -> whenEmpty;
+            case "true" -> true;
+            case "false" -> false;
+            default -> {
+                addFault(section, key, "\"" + text + "\" is not a flag", "true or false");
+                yield whenEmpty;
+            }
+        };
     }
 
     private Map<Zone, Region> zones() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +44,10 @@
     private static final int MAX_TARGETS = 5;
     /** Maximum number of states of other instances in a message. */
     private static final int MAX_RELAYED_STATES = 8;
-    /** Maximum number of changes of the platform's store in a message. */
+    /**
+     * Maximum number of changes of the platform's store in a message. They are sent in the order of their revisions, so
+     * that the recipient asks for the rest in the next round.
+     */
     private static final int MAX_CHANGES = 400;
     /** Maximum time to wait for a response, milliseconds. */
     private static final long RESPONSE_TIMEOUT_MS = 800;
@@ -87,7 +91,7 @@
     void handle(HttpRequest request, byte[] body, ResponseWriter to) {
         try {
             PeerMessage message = mapper.readValue(body, PeerMessage.class);
-            applyMessage(message);
+            applyMessage(message, false);
             byte[] reply = mapper.writeValueAsBytes(createMessage(
                     message.knownRevision(),
                     message.wantsChanges(),
@@ -139,8 +143,9 @@
 
     private void send(Address target) {
         try {
-            byte[] body = mapper.writeValueAsBytes(
-                    createMessage(Long.MAX_VALUE, false, core.peers().regionOf(target)));
+            PeerMessage message =
+                    createMessage(Long.MAX_VALUE, false, core.peers().regionOf(target));
+            byte[] body = mapper.writeValueAsBytes(message);
             HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH);
             request.headers().set("Host", target.toString()).set("Content-Length", body.length);
             long sentMs = core.nowMs();
@@ -148,7 +153,8 @@
                             core,
                             RESPONSE_TIMEOUT_MS,
                             MAX_RESPONSE_BYTES,
-                            (status, answer) -> onResponse(status, answer, core.nowMs() - sentMs),
+                            (status, answer) ->
+                                    onResponse(status, answer, message.wantsChanges(), core.nowMs() - sentMs),
                             reason -> core.peers().markUnreachable(target, core.nowMs()))
                     .send(new Endpoint("peer", target), request, Unpooled.wrappedBuffer(body), OPTIONS);
         } catch (IOException e) {
@@ -156,23 +162,24 @@
         }
     }
 
-    private void onResponse(int status, byte[] body, long tookMs) {
+    private void onResponse(int status, byte[] body, boolean changesRequested, long tookMs) {
         if (status != OK) {
             core.log().notice("peer-answered", "status", status);
             return;
         }
         try {
             PeerMessage message = mapper.readValue(body, PeerMessage.class);
-            applyMessage(message);
+            applyMessage(message, changesRequested && message.changes().size() < MAX_CHANGES);
             core.peers().recordRoundTrip(message.sender().toPeerState().region(), tookMs);
         } catch (IOException | InvalidIdentifierException e) {
             core.log().notice("bad-peer-message", "reason", e.getMessage());
         }
     }
 
-    private void applyMessage(PeerMessage message) {
+    private void applyMessage(PeerMessage message, boolean hasAllChanges) {
         long nowMs = core.nowMs();
-        core.peers().update(new RelayedState(message.sender().toPeerState(), 0), nowMs);
+        PeerState sender = message.sender().toPeerState();
+        core.peers().update(new RelayedState(sender, 0), nowMs);
         for (PeerMessage.AgedState other : message.others()) {
             core.peers().update(other.toRelayedState(), nowMs);
         }
@@ -180,15 +187,20 @@
         for (PeerMessage.Leaving server : message.leaving()) {
             core.serverSignals().recordLeaving(server.toLeavingServer(), "peer");
         }
+        List<CatalogEvent> events = core.catalog().apply(message.changes(), nowMs);
+        core.confirmation().recordMessage(sender, hasAllChanges, core.catalog().revision(), nowMs);
         if (!message.changes().isEmpty()) {
-            core.applyCatalogEvents(core.catalog().apply(message.changes(), nowMs), "peer");
+            core.applyCatalogEvents(events, "peer");
             core.markServersKnown();
         }
     }
 
     private PeerMessage createMessage(long remoteRevision, boolean remoteWantsChanges, Optional<Region> remoteRegion) {
         List<CatalogItem> changes = remoteWantsChanges && core.catalog().revision() > remoteRevision
-                ? core.catalog().changesAfter(remoteRevision)
+                ? core.catalog().changesAfter(remoteRevision).stream()
+                        .sorted(Comparator.comparingLong(CatalogItem::revision))
+                        .limit(MAX_CHANGES)
+                        .toList()
                 : List.of();
         List<PeerMessage.AgedState> others = new ArrayList<>();
         for (RelayedState relayed :
@@ -202,7 +214,7 @@
                 others,
                 core.catalog().revision(),
                 !platformReachable.getAsBoolean(),
-                changes.size() > MAX_CHANGES ? List.of() : changes,
+                changes,
                 promptParts.marks().stream().map(PeerMessage.Mark::of).toList(),
                 promptParts.proofs().stream().map(PeerMessage.Proof::of).toList(),
                 requests.marks().stream().map(PeerMessage.Mark::of).toList(),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
@@ -145,7 +145,9 @@
                         "forwarded",
                         forwarded,
                         "configuration",
-                        core.configurationVersion());
+                        core.configurationVersion(),
+                        "confirmedMsAgo",
+                        core.confirmation().ageMs(core.nowMs()).orElse(-1));
     }
 
     void failedUnexpectedly(RuntimeException cause) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.catalog.CatalogItem;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
@@ -85,7 +86,9 @@
                 list(page.items().getLast().key());
                 return;
             }
-            core.applyCatalogEvents(core.catalog().applySnapshot(listedItems, listRevision, core.nowMs()), "store");
+            List<CatalogEvent> events = core.catalog().applySnapshot(listedItems, listRevision, core.nowMs());
+            core.confirmation().recordStoreAnswer(core.nowMs());
+            core.applyCatalogEvents(events, "store");
             core.markServersKnown();
             watchFrom = listRevision;
             watch();
@@ -95,7 +98,8 @@
     }
 
     private void watch() {
-        watch(WATCH_TIMEOUT_MS);
+        GatewaySettings.Revocation revocation = core.settings().platformLimits().revocation();
+        watch(revocation.strict() ? Math.min(WATCH_TIMEOUT_MS, revocation.revokeMs() / 2) : WATCH_TIMEOUT_MS);
     }
 
     private void watch(long waitMs) {
@@ -120,7 +124,9 @@
             List<CatalogItem> relevant = changes.changes().stream()
                     .filter(item -> StoreItemDecoder.isRelevant(item.key()))
                     .toList();
-            core.applyCatalogEvents(core.catalog().apply(relevant, core.nowMs()), "store");
+            List<CatalogEvent> events = core.catalog().apply(relevant, core.nowMs());
+            core.confirmation().recordStoreAnswer(core.nowMs());
+            core.applyCatalogEvents(events, "store");
             watchFrom = Math.max(watchFrom, changes.revision());
             core.schedule(this::watch, changes.changes().isEmpty() && !regained ? 0 : WATCH_DELAY_MS);
         } catch (MalformedMessageException e) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewayFixture.java
@@ -23,7 +23,7 @@
             new Zone("south-a"), new Region("south"),
             new Zone("east-a"), new Region("east"));
     private static final GatewaySettings.PlatformLimits LIMITS =
-            new GatewaySettings.PlatformLimits(0.2, 10_000, 1_000, 4_000, 5);
+            new GatewaySettings.PlatformLimits(0.2, 10_000, 1_000, 4_000, 5, GatewaySettings.Revocation.DEFAULT);
 
     private GatewayFixture() {}
 
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/RejectionsAcrossRegionsTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/RejectionsAcrossRegionsTest.java
@@ -28,8 +28,8 @@
     /** Longer than a test, so that all its arrivals are in one window. */
     private static final long WINDOW_MS = 600_000;
 
-    private static final GatewaySettings.PlatformLimits LIMITS =
-            new GatewaySettings.PlatformLimits(RETRY_RATIO, WINDOW_MS, RETRY_SLACK, 4_000, 5);
+    private static final GatewaySettings.PlatformLimits LIMITS = new GatewaySettings.PlatformLimits(
+            RETRY_RATIO, WINDOW_MS, RETRY_SLACK, 4_000, 5, GatewaySettings.Revocation.DEFAULT);
     private static final int REQUESTS = 200;
 
     private final List<FakeBackendServer> servers = new ArrayList<>();
