--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -39,21 +39,8 @@
      * Fraction of the latency objective that a request may wait for a free server; after it the response would be late.
      */
     private static final double MAX_WAIT_FRACTION = 0.6;
-    /** Maximum idle time of a pooled connection that is reused for a non-repeatable request, milliseconds. */
-    private static final long NON_REPEATABLE_MAX_IDLE_MS = 400;
-    /** Maximum idle time of a pooled connection that is reused for a repeatable request, milliseconds. */
-    private static final long REPEATABLE_MAX_IDLE_MS = 3_000;
-    /**
-     * Maximum idle time of a pooled connection to another instance, milliseconds. Instances do not drop idle
-     * connections without notice, and a new connection to another region costs a round trip.
-     */
-    private static final long PEER_MAX_IDLE_MS = 3_000;
     /** Maximum time that a request waits for the first configuration after the process starts, milliseconds. */
     private static final long MAX_CONFIGURATION_WAIT_MS = 500;
-    /** Timeout for opening a connection within a region, milliseconds. */
-    private static final int CONNECT_TIMEOUT_MS = 300;
-    /** Timeout for opening a connection to another region, milliseconds. */
-    private static final int PEER_CONNECT_TIMEOUT_MS = 500;
 
     private static final double MS_PER_TENTH = 100;
 
@@ -372,7 +359,7 @@
         log.sent(selection, server.uncachedTokens(demand), copiedTokens);
         Optional<BackendServer.RequestHandle> placed =
                 Optional.of(server.requestSent(demand, copiedTokens, core.kvTokens(service), core.nowMs()));
-        send(GatewayCore.endpoint(server), head, Optional.of(server), placed, CONNECT_TIMEOUT_MS);
+        send(GatewayCore.endpoint(server), head, Optional.of(server), placed, ConnectionOptions.toServer(route));
     }
 
     private void sendToPeer(PeerState peer) {
@@ -381,7 +368,7 @@
         head.headers().set(InternalHeaders.FORWARDED_BY, core.settings().name().name());
         core.metrics().recordForward(service);
         Endpoint endpoint = new Endpoint(peer.id().name(), peer.peerAddress());
-        send(endpoint, head, Optional.empty(), Optional.empty(), PEER_CONNECT_TIMEOUT_MS);
+        send(endpoint, head, Optional.empty(), Optional.empty(), ConnectionOptions.TO_INSTANCE);
     }
 
     private void send(
@@ -389,19 +376,11 @@
             HttpRequest head,
             Optional<BackendServer> server,
             Optional<BackendServer.RequestHandle> placed,
-            int connectTimeoutMs) {
+            HttpClient.SendOptions options) {
         sends++;
-        long maxIdleMs = maxIdleMs(server.isEmpty());
         ByteBuf body = request.body().retainedDuplicate();
         attempt = new Attempt(core, this, endpoint, server, placed, demand, id);
-        attempt.start(head, body, new HttpClient.SendOptions(maxIdleMs, connectTimeoutMs));
-    }
-
-    private long maxIdleMs(boolean toPeer) {
-        if (toPeer) {
-            return PEER_MAX_IDLE_MS;
-        }
-        return route.isRetryable() ? REPEATABLE_MAX_IDLE_MS : NON_REPEATABLE_MAX_IDLE_MS;
+        attempt.start(head, body, options);
     }
 
     private HttpRequest createHead(HttpHeaders headers) {
