Lost connections count as crashes only with a proof that the server ended

Cause: every end of a call after sending it was recorded as a crash of its server, and its contents were marked: resets in the network, and also connections that the gateway itself closed because of malformed bytes or a response to another request. Popular contents are in flight at most of these, so harmless requests and prompt parts were refused as crashing at all instances.

Contents that complete between the loss and the proof are not marked, and a mark that arrives after the report of a later completion is dropped.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/CrashQuarantine.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/CrashQuarantine.java
@@ -47,6 +47,9 @@
 
     private final Map<String, CrashSuspect> suspects = new HashMap<>();
     private final Map<String, Long> proofTimesMs = new BoundedMap<>(MAX_PROOFS);
+    /** Times of the latest complete responses that other instances reported. */
+    private final Map<String, Long> reportedProofTimesMs = new BoundedMap<>(MAX_PROOFS);
+
     private final Map<String, Contest> contests = new BoundedMap<>(MAX_CONTESTS);
 
     private final boolean probing;
@@ -88,8 +91,21 @@
      * @param nowMs current time, milliseconds
      */
     public void recordCrash(Crash crash, Collection<String> keys, Set<Region> homes, long nowMs) {
+        recordCrash(crash, keys, homes, nowMs, nowMs);
+    }
+
+    /**
+     * Marks the keys of a request that was in flight at an earlier crash, except those that have completed since.
+     *
+     * @param crash the crash
+     * @param keys the keys of the request
+     * @param homes regions that the content is bound to, empty if unbound
+     * @param crashMs time of the crash, milliseconds
+     * @param nowMs current time, milliseconds
+     */
+    public void recordCrash(Crash crash, Collection<String> keys, Set<Region> homes, long crashMs, long nowMs) {
         for (String key : keys) {
-            mark(key, crash, homes, nowMs, nowMs);
+            mark(key, crash, homes, crashMs, nowMs);
         }
     }
 
@@ -192,11 +208,13 @@
             mark(mark.key(), mark.crash(), mark.homes(), nowMs - Math.max(0, mark.ageMs()), nowMs);
         }
         for (CrashUpdate.Proof proof : update.proofs()) {
+            long provenMs = nowMs - Math.max(0, proof.ageMs());
+            reportedProofTimesMs.merge(proof.key(), provenMs, Math::max);
             CrashSuspect suspect = suspects.get(proof.key());
             if (suspect == null) {
                 continue;
             }
-            suspect.removeCrashesUntil(nowMs - Math.max(0, proof.ageMs()));
+            suspect.removeCrashesUntil(provenMs);
             if (suspect.crashes() == 0) {
                 suspects.remove(proof.key());
             }
@@ -254,7 +272,7 @@
             contests.put(key, new Contest(homes, nowMs));
             return;
         }
-        if (nowMs - atMs >= RETENTION_MS) {
+        if (nowMs - atMs >= RETENTION_MS || reportedProofTimesMs.getOrDefault(key, Long.MIN_VALUE) >= atMs) {
             return;
         }
         suspects.computeIfAbsent(key, id -> new CrashSuspect()).addCrash(crash, homes, atMs, nowMs);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
@@ -118,6 +118,7 @@
                                     "epoch",
                                     changes.epoch());
                     server.clearCacheEstimate();
+                    core.crashGuard().serverRestarted(server.entry().id(), "cache lost");
                 }
                 epoch = changes.epoch();
             }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -393,6 +393,7 @@
     void applyCatalogEvents(List<CatalogEvent> events, String source) {
         for (CatalogEvent event : events) {
             runLogged(() -> {
+                crashGuard.onCatalogEvent(event);
                 backends.apply(event, nowMs());
                 logCatalogEvent(event, source);
             });
