Estimate the speed of each backend server and avoid slow ones

The fourth figure of a server's load report was discarded, and prefill speed and step time were estimated for a service as a whole: a server that was four times slower got the same share of requests as its neighbors, and a server that hung while its health checks reported no load got more.

Each server has a slowdown factor from its report, from the time to the first event and from gaps between events, each relative to its service; they decay within about a second. It scales the cost, the predicted wait and the prefill backlog. Requests in flight without progress set a minimum whatever the server reports. A server without a recent load report counts as loaded like the others instead of idle. Instances with peers choose the cheaper of two random servers of nearly equal cost, so that they do not all select the same one; a single instance always selects the best.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,34 +9,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.catalog.ServerEntry;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.route.EngineSpec;
-import org.ibissaddle.route.HashMixer;
 import org.ibissaddle.route.ServiceSpec;
 
 /** Tracks the backend servers of the local region and selects servers for requests. Confined to one thread. */
 public final class BackendRegistry {
-    /** Share of the maximum request rate of a cold server that all instances of a region use in total. */
-    private static final double COLD_RATE_SHARE = 0.8;
-    /** Share of an engine's KV cache that requests in flight may use. The rest holds shared prompt parts. */
-    private static final double KV_CACHE_SHARE = 0.85;
-    /**
-     * Share of the uncached shared tokens that is not charged to the preferred server of a prompt, because it probably
-     * received them from another instance.
-     */
-    private static final double PREFERRED_SERVER_DISCOUNT = 0.5;
-    /** Cost of each running request, expressed in prefill tokens. Weighs load against prefill. */
-    private static final double PREFILL_TOKENS_PER_RUNNING_REQUEST = 60;
-    /** Maximum prefill backlog of an engine in milliseconds. Further requests wait, in order, at this instance. */
-    private static final double MAX_PREFILL_BACKLOG_MS = 1_000;
-    /** Number of events of a typical response, used to compare regions. */
-    private static final int TYPICAL_RESPONSE_EVENTS = 10;
     /** Maximum number of leaving servers that are remembered; the oldest are forgotten first. */
     private static final int MAX_LEAVING_SERVERS = 4_096;
 
@@ -49,17 +34,35 @@
     private final Set<Zone> evacuated = new HashSet<>();
     private final Set<LeavingServer> leaving = new LinkedHashSet<>();
     private final Map<String, EngineSpeedEstimate> speedsByService = new HashMap<>();
+    private final ServerSelector selector;
     private Map<String, ServiceSpec> specs = Map.of();
 
     /**
-     * Creates an instance without servers.
+     * Creates an instance without servers that always selects the server with the lowest cost.
      *
      * @param region the local region
      * @param regions region of each availability zone
      */
     public BackendRegistry(Region region, Map<Zone, Region> regions) {
+        this(region, regions, Optional.empty());
+    }
+
+    /**
+     * Creates an instance without servers that chooses at random among servers of nearly equal cost, so that many
+     * instances with the same information do not all select the same one.
+     *
+     * @param region the local region
+     * @param regions region of each availability zone
+     * @param random source of randomness
+     */
+    public BackendRegistry(Region region, Map<Zone, Region> regions, RandomGenerator random) {
+        this(region, regions, Optional.of(random));
+    }
+
+    private BackendRegistry(Region region, Map<Zone, Region> regions, Optional<RandomGenerator> random) {
         this.region = region;
         this.regions = Map.copyOf(regions);
+        this.selector = new ServerSelector(region, random);
     }
 
     /**
@@ -158,19 +161,24 @@
      *     that accepts requests
      */
     public OptionalLong heldOffUntilMs(String service, long nowMs) {
-        return earliestEnd(eligibleServers(service, Set.of()), nowMs);
+        return earliestEnd(eligibleServers(service), nowMs);
     }
 
     private static OptionalLong earliestEnd(List<BackendServer> servers, long nowMs) {
-        return servers.stream().allMatch(server -> server.isHeldOff(nowMs))
-                ? servers.stream().mapToLong(BackendServer::heldOffUntilMs).min()
-                : OptionalLong.empty();
+        long earliestMs = Long.MAX_VALUE;
+        for (BackendServer server : servers) {
+            if (!server.isHeldOff(nowMs)) {
+                return OptionalLong.empty();
+            }
+            earliestMs = Math.min(earliestMs, server.heldOffUntilMs());
+        }
+        return servers.isEmpty() ? OptionalLong.empty() : OptionalLong.of(earliestMs);
     }
 
-    private List<BackendServer> eligibleServers(String service, Set<ServerId> excluded) {
+    private List<BackendServer> eligibleServers(String service) {
         List<BackendServer> eligible = new ArrayList<>();
         for (BackendServer server : byService.getOrDefault(service, List.of())) {
-            if (isEligible(server) && !excluded.contains(server.entry().id())) {
+            if (isEligible(server)) {
                 eligible.add(server);
             }
         }
@@ -189,7 +197,12 @@
      */
     public ServerSelectionResult selectServer(
             String service, RequestDemand demand, Set<ServerId> tried, ColdRateShare coldRateShare, long nowMs) {
-        List<BackendServer> eligible = eligibleServers(service, tried);
+        List<BackendServer> eligible = new ArrayList<>();
+        for (BackendServer server : byService.getOrDefault(service, List.of())) {
+            if (isEligible(server) && !tried.contains(server.entry().id())) {
+                eligible.add(server);
+            }
+        }
         if (eligible.isEmpty()) {
             return new ServerSelectionResult.NoServer("no server of service " + service + " in region " + region);
         }
@@ -199,17 +212,21 @@
                     heldOffUntilMs.getAsLong(),
                     "every server of service " + service + " in region " + region + " has requested a pause");
         }
-        List<BackendServer> accepting = eligible.stream()
-                .filter(server -> !server.isHealthCheckPending() && !server.isHeldOff(nowMs))
-                .toList();
-        List<BackendServer> healthy =
-                accepting.stream().filter(server -> !server.isEjected(nowMs)).toList();
-        List<BackendServer> candidates = healthy.isEmpty() ? accepting : healthy;
-        if (candidates.isEmpty()) {
+        eligible.removeIf(server -> server.isHealthCheckPending() || server.isHeldOff(nowMs));
+        if (eligible.isEmpty()) {
             return new ServerSelectionResult.AtCapacity("every server of service " + service + " in region " + region
                     + " is waiting for a health check or has requested a pause");
         }
-        return selectCheapest(service, demand, candidates, coldRateShare, nowMs);
+        Optional<BackendServer> source = serviceSpec(service)
+                .flatMap(ServiceSpec::engine)
+                .filter(EngineSpec::copiesCache)
+                .flatMap(spec -> cacheSource(service, demand));
+        return selector.select(
+                eligible,
+                new ServerSelector.Request(service, serviceSpec(service), demand, source),
+                speed(service),
+                coldRateShare,
+                nowMs);
     }
 
     /**
@@ -260,7 +277,7 @@
                 .flatMap(ServiceSpec::engine)
                 .map(EngineSpec::tokensPerEvent)
                 .orElse(1);
-        RequestDemand typical = new RequestDemand("", 0, TYPICAL_RESPONSE_EVENTS * stride, List.of());
+        RequestDemand typical = new RequestDemand("", 0, ServerSelector.TYPICAL_RESPONSE_EVENTS * stride, List.of());
         ServerSelectionResult result = selectServer(service, typical, Set.of(), coldRateShare, nowMs);
         return result instanceof ServerSelectionResult.Selected found ? Optional.of(found.waitMs()) : Optional.empty();
     }
@@ -295,6 +312,28 @@
         speed(service).observePrefill(tokens, tookMs);
     }
 
+    /**
+     * Updates the estimated speeds of a server and of its service with the first part of a response: for a plain
+     * service the response time, for an engine the time to the first event.
+     *
+     * @param request the request
+     * @param tookMs time from sending the request to the first part of the response in milliseconds
+     * @param nowMs current time in milliseconds
+     */
+    public void recordFirstChunk(BackendServer.RequestHandle request, long tookMs, long nowMs) {
+        BackendServer server = request.server();
+        EngineSpeedEstimate service = speed(server.entry().service());
+        OptionalDouble expectedMs = service.firstEventMs(request.tokensAhead());
+        double reportedSlowdown = server.speed().reportedSlowdown(selector.slowdownDecayMs(), nowMs);
+        if (expectedMs.isPresent()) {
+            server.speed()
+                    .observeFirstEvent((double) tookMs, expectedMs.getAsDouble(), selector.slowdownDecayMs(), nowMs);
+        }
+        server.recordProgress(nowMs);
+        // The estimate of the service is that of a server at its usual speed.
+        service.observePrefill(request.tokensAhead(), Math.round(tookMs / reportedSlowdown));
+    }
+
     /**
      * Updates the estimated time between events of a server and of its service.
      *
@@ -303,8 +342,25 @@
      * @param nowMs current time in milliseconds
      */
     public void recordEventGap(BackendServer server, long gapMs, long nowMs) {
+        EngineSpeedEstimate service = speed(server.entry().service());
+        OptionalDouble typicalGapMs = service.typicalGapMs();
+        if (typicalGapMs.isPresent()) {
+            server.speed().observeGap((double) gapMs, typicalGapMs.getAsDouble(), selector.slowdownDecayMs(), nowMs);
+        }
         server.recordEventGap(gapMs, nowMs);
-        speed(server.entry().service()).observeGap((double) gapMs);
+        service.observeGap((double) gapMs);
+    }
+
+    /**
+     * Returns how much longer work currently takes on a server than on a typical server of its service, estimated from
+     * its reports and from observations. A server whose requests make no progress is slow whatever it reports.
+     *
+     * @param server the server
+     * @param nowMs current time in milliseconds
+     * @return 1 for the usual speed, 2 for half of it
+     */
+    public double slowdown(BackendServer server, long nowMs) {
+        return selector.slowdown(server, speed(server.entry().service()), nowMs);
     }
 
     /**
@@ -323,47 +379,6 @@
         return speedsByService.computeIfAbsent(service, name -> new EngineSpeedEstimate());
     }
 
-    private ServerSelectionResult selectCheapest(
-            String service,
-            RequestDemand demand,
-            List<BackendServer> candidates,
-            ColdRateShare coldRateShare,
-            long nowMs) {
-        Optional<EngineSpec> engine = serviceSpec(service).flatMap(ServiceSpec::engine);
-        double coldRate = COLD_RATE_SHARE
-                * serviceSpec(service).map(ServiceSpec::coldPerSecond).orElse(0.0);
-        BackendServer preferredServer = demand.promptParts().isEmpty() ? null : preferredServer(demand, candidates);
-        Optional<BackendServer> source =
-                engine.filter(EngineSpec::copiesCache).flatMap(spec -> cacheSource(service, demand));
-        EngineSpeedEstimate speed = speed(service);
-        BackendServer cheapest = null;
-        double lowestCost = Double.MAX_VALUE;
-        for (BackendServer server : candidates) {
-            boolean full = server.estimatedLoad(nowMs) >= server.entry().slots();
-            boolean coldRateExceeded = server.isCold(nowMs)
-                    && !server.admitsColdRequest(
-                            coldRate * coldRateShare.of(server.entry().id()), nowMs);
-            boolean backlogTooLong =
-                    engine.isPresent() && speed.prefillMs((double) server.backlogTokens()) > MAX_PREFILL_BACKLOG_MS;
-            if (full || coldRateExceeded || backlogTooLong || !fitsKvCache(server, demand, engine)) {
-                continue;
-            }
-            double cost = cost(server, demand, server == preferredServer, source, engine, speed, nowMs);
-            if (cost < lowestCost) {
-                cheapest = server;
-                lowestCost = cost;
-            }
-        }
-        if (cheapest == null) {
-            return new ServerSelectionResult.AtCapacity("all servers of service " + service + " in region " + region
-                    + " have reached their load limit or the rate limit for cold servers");
-        }
-        long waitMs = engine.isPresent() ? Math.round(predictWaitMs(cheapest, demand, speed, nowMs)) : 0;
-        BackendServer selected = cheapest;
-        return new ServerSelectionResult.Selected(
-                cheapest, waitMs, source.filter(from -> selected.tokensToCopy(demand, from) > 0));
-    }
-
     /** Returns the server of the region that has prefilled the longest prefix of a prompt. */
     private Optional<BackendServer> cacheSource(String service, RequestDemand demand) {
         BackendServer source = null;
@@ -378,48 +393,6 @@
         return Optional.ofNullable(source);
     }
 
-    /** Predicts the time in milliseconds to prefill the backlog and the prompt and to stream a typical response. */
-    private static double predictWaitMs(
-            BackendServer server, RequestDemand demand, EngineSpeedEstimate speed, long nowMs) {
-        double unprefilledTokens = (double) server.backlogTokens() + server.uncachedTokens(demand);
-        return speed.prefillMs(unprefilledTokens)
-                + TYPICAL_RESPONSE_EVENTS * server.expectedEventGapMs(speed.idleGapMs(), nowMs);
-    }
-
-    /**
-     * Returns the cost of sending a request to a server: for a plain service its relative load, for an engine the delay
-     * in milliseconds that the request would experience and cause. The server with the lowest cost is selected.
-     */
-    private static double cost(
-            BackendServer server,
-            RequestDemand demand,
-            boolean isPreferred,
-            Optional<BackendServer> source,
-            Optional<EngineSpec> engine,
-            EngineSpeedEstimate speed,
-            long nowMs) {
-        int load = server.estimatedLoad(nowMs);
-        if (engine.isEmpty()) {
-            return (double) (load + 1) / Math.max(1, server.entry().slots());
-        }
-        int copiedTokens = source.map(from -> server.tokensToCopy(demand, from)).orElse(0);
-        int uncachedSharedTokens = Math.max(0, demand.sharedTokens() - server.cachedTokens(demand) - copiedTokens);
-        double tokensToPrefill = server.uncachedTokens(demand)
-                - copiedTokens
-                - (isPreferred ? uncachedSharedTokens * PREFERRED_SERVER_DISCOUNT : 0);
-        double copyMs = copiedTokens == 0 ? 0 : engine.get().copyMs(copiedTokens);
-        return copyMs
-                + speed.prefillMs(server.backlogTokens() + tokensToPrefill + load * PREFILL_TOKENS_PER_RUNNING_REQUEST);
-    }
-
-    private static boolean fitsKvCache(BackendServer server, RequestDemand demand, Optional<EngineSpec> engine) {
-        if (engine.isEmpty() || server.inFlight() == 0) {
-            return true;
-        }
-        long reservedTokens = server.reservedKvTokens() + server.uncachedTokens(demand) + demand.outputTokens();
-        return reservedTokens <= engine.get().kvTokens() * KV_CACHE_SHARE;
-    }
-
     /**
      * Returns the region that should prefill the shared parts of a prompt, so that only one region prefills them. All
      * instances that know the same servers compute the same region.
@@ -447,7 +420,7 @@
                 || evacuated.contains(entry.zone())
                 || !(allowed.isEmpty() || allowed.contains(regions.get(entry.zone()))));
         return candidates.stream()
-                .max(Comparator.comparingLong(entry -> rendezvousHash(demand, entry.id())))
+                .max(Comparator.comparingLong(entry -> ServerSelector.rendezvousHash(demand, entry.id())))
                 .map(entry -> regions.get(entry.zone()));
     }
 
@@ -466,19 +439,6 @@
         return Math.round(speed(service).prefillMs((double) Math.max(0, demand.sharedTokens() - cachedTokens)));
     }
 
-    /** Returns the server that all instances prefer for a prompt: the highest rendezvous hash of its first part. */
-    private static BackendServer preferredServer(RequestDemand demand, List<BackendServer> candidates) {
-        return Collections.max(
-                candidates,
-                Comparator.comparingLong(
-                        server -> rendezvousHash(demand, server.entry().id())));
-    }
-
-    private static long rendezvousHash(RequestDemand demand, ServerId server) {
-        long part = demand.promptParts().getFirst().id().hashCode();
-        return HashMixer.mix(part * 31 + server.name().hashCode());
-    }
-
     private void addOrUpdate(ServerEntry entry, long nowMs) {
         if (!region.equals(regions.get(entry.zone()))) {
             remove(entry.id());
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -1,5 +1,6 @@
 package org.ibissaddle.backend;
 
+import java.util.OptionalInt;
 import org.ibissaddle.catalog.ServerEntry;
 
 /** State that this instance keeps about one backend server. Not thread-safe: confined to one thread. */
@@ -29,11 +30,12 @@
     private static final double FAILURE_RATE_TO_EJECT = 0.6;
 
     private final PrefixCacheEstimate prefixCache = new PrefixCacheEstimate();
+    private final ServerSpeed speed = new ServerSpeed();
     private final TokenBucket coldRequestLimiter;
     private ServerEntry entry;
     private int inFlight;
     private int otherInstancesRequests;
-    private long reportedAtMs = Long.MIN_VALUE / 2;
+    private long reportedAtMs = ServerSpeed.NEVER;
     private long backlogTokens;
     private long reservedKvTokens;
     private long coldUntilMs;
@@ -45,6 +47,7 @@
     private boolean healthCheckPending;
     private double eventGapMs = -1;
     private long eventGapObservedAtMs;
+    private long progressAtMs;
 
     BackendServer(ServerEntry entry, long nowMs) {
         this.entry = entry;
@@ -148,6 +151,71 @@
         return inFlight + (nowMs - reportedAtMs < MAX_REPORT_AGE_MS ? otherInstancesRequests : 0);
     }
 
+    /**
+     * Returns the number of requests of other instances at the server.
+     *
+     * @param nowMs current time in milliseconds
+     * @return number of requests running or queued, empty without a recent load report
+     */
+    OptionalInt otherInstancesRequests(long nowMs) {
+        return nowMs - reportedAtMs < MAX_REPORT_AGE_MS ? OptionalInt.of(otherInstancesRequests) : OptionalInt.empty();
+    }
+
+    /**
+     * Returns the age of the latest load report.
+     *
+     * @param nowMs current time in milliseconds
+     * @return age in milliseconds, -1 if the server has never reported its load
+     */
+    public long loadReportAgeMs(long nowMs) {
+        return age(reportedAtMs, nowMs);
+    }
+
+    /**
+     * Returns the age of the latest figure for the current speed of the server's machine.
+     *
+     * @param nowMs current time in milliseconds
+     * @return age in milliseconds, -1 if the server has never reported one
+     */
+    public long speedReportAgeMs(long nowMs) {
+        return age(speed.reportedAtMs(), nowMs);
+    }
+
+    /**
+     * Returns the age of the latest time that this instance measured at the server: to a first event, or between
+     * events.
+     *
+     * @param nowMs current time in milliseconds
+     * @return age in milliseconds, -1 if nothing was measured
+     */
+    public long speedObservationAgeMs(long nowMs) {
+        return age(speed.observedAtMs(), nowMs);
+    }
+
+    private static long age(long atMs, long nowMs) {
+        return atMs == ServerSpeed.NEVER ? -1 : nowMs - atMs;
+    }
+
+    /**
+     * Returns how long the requests in flight at the server have made no progress.
+     *
+     * @param nowMs current time in milliseconds
+     * @return time in milliseconds since the last part of a response, or since the first request was sent to the idle
+     *     server; 0 without requests in flight
+     */
+    public long stalledMs(long nowMs) {
+        return inFlight == 0 ? 0 : nowMs - progressAtMs;
+    }
+
+    ServerSpeed speed() {
+        return speed;
+    }
+
+    /** Records that a part of a response has arrived. Reports of the server are no progress. */
+    void recordProgress(long nowMs) {
+        progressAtMs = nowMs;
+    }
+
     /**
      * Returns the number of prompt tokens sent by this instance for which prefill has not completed.
      *
@@ -222,6 +290,9 @@
         int reservedTokens = uncachedTokens(demand) + demand.outputTokens();
         int prefillTokens = Math.max(0, uncachedTokens(demand) - copiedTokens);
         long backlogBefore = backlogTokens;
+        if (inFlight == 0) {
+            progressAtMs = nowMs;
+        }
         inFlight++;
         backlogTokens += prefillTokens;
         reservedKvTokens += reservedTokens;
@@ -257,6 +328,9 @@
     public void updateLoad(LoadReport report, long nowMs) {
         otherInstancesRequests = Math.max(0, report.running() + report.waiting() - inFlight);
         reportedAtMs = nowMs;
+        if (report.slowdownPercent().isPresent()) {
+            speed.report(report.slowdownPercent().getAsInt(), nowMs);
+        }
     }
 
     /**
@@ -268,6 +342,7 @@
     public void recordEventGap(long gapMs, long nowMs) {
         eventGapMs = eventGapMs < 0 ? gapMs : eventGapMs + (gapMs - eventGapMs) * EVENT_GAP_SMOOTHING;
         eventGapObservedAtMs = nowMs;
+        progressAtMs = nowMs;
     }
 
     /** Returns the expected time between events: the recent average, which decays to the gap of an idle engine. */
@@ -337,6 +412,7 @@
         entry = next;
         if (restarted || addressChanged) {
             prefixCache.clear();
+            speed.reset();
             heldOffUntilMs = 0;
             extendColdPeriod(Math.max(coldMs, next.coldForMs()), nowMs);
             return;
@@ -362,6 +438,15 @@
             this.backlogBefore = backlogBefore;
         }
 
+        /**
+         * Returns the server to which the request was sent.
+         *
+         * @return the server
+         */
+        public BackendServer server() {
+            return BackendServer.this;
+        }
+
         /**
          * Records the first chunk of the response, which shows that prefill has completed.
          *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -259,7 +259,7 @@
     private void recordTimeToFirstContent() {
         placed.ifPresent(at -> {
             if (at.firstChunkReceived()) {
-                core.backends().recordFirstChunk(exchange.service(), at.tokensAhead(), core.nowMs() - sentMs);
+                core.backends().recordFirstChunk(at, core.nowMs() - sentMs, core.nowMs());
                 core.onCapacityChanged(exchange.service());
             }
         });
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.ibissaddle.backend.BackendRegistry;
 import org.ibissaddle.backend.BackendServer;
@@ -87,7 +88,7 @@
         this.log = log;
         this.startedMs = clock.nowMs();
         this.metrics = new GatewayMetrics();
-        this.backends = new BackendRegistry(settings.region(), settings.zones());
+        this.backends = createBackendRegistry(settings, startedMs);
         this.peers = new PeerTable(
                 settings.name(), settings.region(), !settings.seeds().isEmpty(), clock.nowMs());
         this.regions = new RegionSelector(settings.region(), backends, peers);
@@ -100,6 +101,16 @@
         this.crashGuard = new CrashGuard(this);
     }
 
+    /** A single instance always selects the best server; several must not all select the same one. */
+    private static BackendRegistry createBackendRegistry(GatewaySettings settings, long nowMs) {
+        return settings.seeds().isEmpty()
+                ? new BackendRegistry(settings.region(), settings.zones())
+                : new BackendRegistry(
+                        settings.region(),
+                        settings.zones(),
+                        new SplittableRandom(settings.name().name().hashCode() + nowMs));
+    }
+
     static Endpoint endpoint(BackendServer server) {
         return new Endpoint(server.entry().id().name(), server.entry().address());
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
@@ -7,6 +7,8 @@
 
 /** Logs the decisions on one request. */
 final class RequestLog {
+    private static final double PERCENT = 100;
+
     private final GatewayCore core;
     private final String request;
     private final long arrivedMs;
@@ -39,6 +41,18 @@
                         server.entry().id(),
                         "load",
                         server.estimatedLoad(core.nowMs()),
+                        "loadAgeMs",
+                        server.loadReportAgeMs(core.nowMs()),
+                        "slowdownPercent",
+                        Math.round(core.backends().slowdown(server, core.nowMs()) * PERCENT),
+                        "slowdownReportAgeMs",
+                        server.speedReportAgeMs(core.nowMs()),
+                        "slowdownObservedAgeMs",
+                        server.speedObservationAgeMs(core.nowMs()),
+                        "stalledMs",
+                        server.stalledMs(core.nowMs()),
+                        "waitMs",
+                        selection.waitMs(),
                         "coldLeftMs",
                         server.coldRemainingMs(core.nowMs()),
                         "instances",
