--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
@@ -343,9 +343,9 @@
      */
     public void recordEventGap(BackendServer server, long gapMs, long nowMs) {
         EngineSpeedEstimate service = speed(server.entry().service());
-        OptionalDouble meanGapMs = service.meanGapMs();
-        if (meanGapMs.isPresent()) {
-            server.speed().observeGap((double) gapMs, meanGapMs.getAsDouble(), selector.slowdownDecayMs(), nowMs);
+        OptionalDouble typicalGapMs = service.typicalGapMs();
+        if (typicalGapMs.isPresent()) {
+            server.speed().observeGap((double) gapMs, typicalGapMs.getAsDouble(), selector.slowdownDecayMs(), nowMs);
         }
         server.recordEventGap(gapMs, nowMs);
         service.observeGap((double) gapMs);
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeedEstimate.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeedEstimate.java
@@ -13,6 +13,8 @@
     private static final double SMOOTHING = 0.05;
     /** Weight of samples above the idle gap. Small, so that gaps caused by load do not raise the idle gap. */
     private static final double IDLE_GAP_RISE_SMOOTHING = 0.001;
+    /** Weight of samples above the typical time, relative to those below it. */
+    private static final double RISE_WEIGHT = 0.25;
     /** Samples with fewer tokens are dominated by fixed overhead and update only that estimate. */
     private static final long MIN_PREFILL_SAMPLE_TOKENS = 2_000;
 
@@ -21,13 +23,13 @@
     private double idleGapMs = INITIAL_IDLE_GAP_MS;
     private double shortFirstEventMs;
     private long shortFirstEvents;
-    private double meanGapMs;
+    private double typicalGapMs;
     private long gaps;
 
     void observePrefill(long tokens, long tookMs) {
         if (tokens < MIN_PREFILL_SAMPLE_TOKENS) {
             shortFirstEvents++;
-            shortFirstEventMs += (tookMs - shortFirstEventMs) * averageWeight(shortFirstEvents);
+            shortFirstEventMs = typical(shortFirstEventMs, (double) tookMs, shortFirstEvents);
             fixedOverheadMs += (tookMs - fixedOverheadMs) * SMOOTHING;
             return;
         }
@@ -37,7 +39,7 @@
 
     void observeGap(double gapMs) {
         gaps++;
-        meanGapMs += (gapMs - meanGapMs) * averageWeight(gaps);
+        typicalGapMs = typical(typicalGapMs, gapMs, gaps);
         idleGapMs = gapMs < idleGapMs
                 ? idleGapMs + (gapMs - idleGapMs) * SMOOTHING
                 : idleGapMs + (gapMs - idleGapMs) * IDLE_GAP_RISE_SMOOTHING;
@@ -48,9 +50,12 @@
         return idleGapMs;
     }
 
-    /** Returns the average time between events under the current load in milliseconds, empty without a sample. */
-    OptionalDouble meanGapMs() {
-        return gaps == 0 ? OptionalDouble.empty() : OptionalDouble.of(meanGapMs);
+    /**
+     * Returns the time between events of a server of the usual speed under the current load in milliseconds, empty
+     * without a sample.
+     */
+    OptionalDouble typicalGapMs() {
+        return gaps == 0 ? OptionalDouble.empty() : OptionalDouble.of(typicalGapMs);
     }
 
     /**
@@ -66,9 +71,14 @@
         return OptionalDouble.of(shortFirstEventMs + prefillMs);
     }
 
-    /** Weight of the latest sample: the average of all samples at first, then a moving one. */
-    private static double averageWeight(long samples) {
-        return Math.max(SMOOTHING, 1.0 / samples);
+    /**
+     * Updates the time of a server of the usual speed: the average of all samples at first, then a moving one. Samples
+     * above it have less weight, so that slow servers do not become the standard by which they are judged.
+     */
+    private static double typical(double beforeMs, double sampleMs, long samples) {
+        double weight = Math.max(SMOOTHING, 1.0 / samples);
+        boolean above = sampleMs > beforeMs && samples > 1;
+        return beforeMs + (sampleMs - beforeMs) * weight * (above ? RISE_WEIGHT : 1);
     }
 
     /** Predicts the prefill time of a number of tokens in milliseconds. */
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSpeed.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSpeed.java
@@ -20,8 +20,14 @@
     private static final double FIRST_EVENT_SMOOTHING = 0.3;
     /** Weight of one gap between events. Smaller, since a stream has many and single ones contain prefill steps. */
     private static final double GAP_SMOOTHING = 0.1;
-    /** Added to observed and expected times: differences of a few milliseconds say nothing about the server. */
-    private static final double TIMING_NOISE_MS = 10;
+    /** Added to observed and expected times: a busy event loop reads a response some ten milliseconds late. */
+    private static final double FIRST_EVENT_NOISE_MS = 50;
+    /** The same for gaps between events, whose delays partly cancel each other. */
+    private static final double GAP_NOISE_MS = 10;
+    /** Observed slowdowns up to this one are within the usual differences between requests. */
+    private static final double MIN_OBSERVED_SLOWDOWN = 1.25;
+    /** Number of recent samples from which the observed slowdown has its full weight; the first one has none. */
+    private static final double CONFIDENT_SAMPLES = 3;
     /** Multiple of the expected time without progress from which a server counts as stalled. */
     private static final double STALL_TOLERANCE = 3;
     /** Minimum expected time of a step of progress; shorter ones are within the delays of a busy event loop. */
@@ -34,6 +40,9 @@
     private long reportedAtMs = NEVER;
     private double observed = USUAL;
     private long observedAtMs = NEVER;
+    /** Number of observations, of which earlier ones have decayed. */
+    private double samples;
+
     private double stalled = USUAL;
     private long stalledAtMs = NEVER;
 
@@ -47,12 +56,12 @@
 
     /** Records the time to the first event of a response and the time that a typical server needs for it. */
     void observeFirstEvent(double tookMs, double expectedMs, double decayMs, long nowMs) {
-        observe(ratio(tookMs, expectedMs), FIRST_EVENT_SMOOTHING, decayMs, nowMs);
+        observe(ratio(tookMs, expectedMs, FIRST_EVENT_NOISE_MS), FIRST_EVENT_SMOOTHING, decayMs, nowMs);
     }
 
     /** Records the time between two events and the average time on the servers of the service. */
     void observeGap(double gapMs, double expectedMs, double decayMs, long nowMs) {
-        observe(ratio(gapMs, expectedMs), GAP_SMOOTHING, decayMs, nowMs);
+        observe(ratio(gapMs, expectedMs, GAP_NOISE_MS), GAP_SMOOTHING, decayMs, nowMs);
     }
 
     /**
@@ -86,7 +95,7 @@
         double total = reportWeight + OBSERVATION_WEIGHT * observationWeight;
         double excess = total == 0
                 ? 0
-                : (reportWeight * (reported - USUAL) + OBSERVATION_WEIGHT * observationWeight * (observed - USUAL))
+                : (reportWeight * (reported - USUAL) + OBSERVATION_WEIGHT * observationWeight * observedExcess())
                         / total;
         double estimate = USUAL + excess * Math.max(reportWeight, observationWeight);
         return stalledAtMs == NEVER ? estimate : Math.max(estimate, current(stalled, stalledAtMs, decayMs, nowMs));
@@ -104,10 +113,20 @@
 
     private void observe(double ratio, double smoothing, double decayMs, long nowMs) {
         double before = current(observed, observedAtMs, decayMs, nowMs);
+        samples = samples * weight(observedAtMs, decayMs, nowMs) + 1;
         observed = before + (ratio - before) * smoothing;
         observedAtMs = nowMs;
     }
 
+    /**
+     * Returns by how much the observed slowdown exceeds the usual differences. A server counts as faster than the
+     * others only by its own report: short responses may be short for other reasons.
+     */
+    private double observedExcess() {
+        double confidence = Math.min(1, (samples - 1) / (CONFIDENT_SAMPLES - 1));
+        return observed < MIN_OBSERVED_SLOWDOWN ? 0 : confidence * (observed - USUAL);
+    }
+
     private static double current(double slowdown, long atMs, double decayMs, long nowMs) {
         return USUAL + (slowdown - USUAL) * weight(atMs, decayMs, nowMs);
     }
@@ -116,8 +135,8 @@
         return atMs == NEVER ? 0 : Math.exp(-Math.max(0, nowMs - atMs) / decayMs);
     }
 
-    private static double ratio(double tookMs, double expectedMs) {
-        return clamp((tookMs + TIMING_NOISE_MS) / (expectedMs + TIMING_NOISE_MS));
+    private static double ratio(double tookMs, double expectedMs, double noiseMs) {
+        return clamp((tookMs + noiseMs) / (expectedMs + noiseMs));
     }
 
     private static double clamp(double slowdown) {
