Send heartbeats instead of states between instances, mostly within the zone

Cause: each message carried nine full states of about 450 bytes, to five instances of any zone. At 122 instances this was 46 KB/s per instance between zones, and eight relayed states were too few: at times an instance saw only 66 of 121 others as running.

Change: a message carries a heartbeat of about 15 bytes of every running instance. The response carries newer heartbeats and the states that the sender lacks according to its heartbeats. Recipients are two or three instances of the own zone; the instances of a zone together send four messages a round to other zones of the region, those of a region four to other regions. Loads are sent to other regions only and relayed within the region. Instances of an earlier version get states as before. The load of the servers is computed at most every 250 ms, the list of running instances only after a change.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
@@ -19,10 +19,12 @@
  * @param peerAddress address for other instances
  * @param ready whether it accepts requests from callers
  * @param draining whether it is shutting down; callers are sent to it only when no ready instance is preferred
- * @param revision highest platform revision that it has read
+ * @param revision highest platform revision that it has read; 0 if another instance relayed the state
  * @param platformReachable whether it can reach the platform
  * @param knownInstances number of instances that it knows, including itself; 0 if it has an earlier version
- * @param services load of the backend servers in its region, by service
+ * @param services load of the backend servers in its region, by service; empty within the region
+ * @param version number that increases within the incarnation when {@code ready}, {@code draining} or
+ *     {@code platformReachable} changes; 0 if it has an earlier version, which sends no heartbeats
  */
 public record PeerState(
         InstanceId id,
@@ -37,12 +39,61 @@
         long revision,
         boolean platformReachable,
         int knownInstances,
-        Map<String, ServiceLoad> services) {
+        Map<String, ServiceLoad> services,
+        int version) {
     /** Makes a defensive copy of the map. */
     public PeerState {
         services = Map.copyOf(services);
     }
 
+    /**
+     * Creates the state of an instance of an earlier version, which sends no heartbeats.
+     *
+     * @param id the instance
+     * @param incarnation start time of its process, epoch milliseconds
+     * @param sequence sequence number of the message within the incarnation
+     * @param region its region
+     * @param zone its availability zone
+     * @param callerAddress address for callers
+     * @param peerAddress address for other instances
+     * @param ready whether it accepts requests from callers
+     * @param draining whether it is shutting down
+     * @param revision highest platform revision that it has read
+     * @param platformReachable whether it can reach the platform
+     * @param knownInstances number of instances that it knows, including itself
+     * @param services load of the backend servers in its region, by service
+     */
+    public PeerState(
+            InstanceId id,
+            long incarnation,
+            long sequence,
+            Region region,
+            Zone zone,
+            Address callerAddress,
+            Address peerAddress,
+            boolean ready,
+            boolean draining,
+            long revision,
+            boolean platformReachable,
+            int knownInstances,
+            Map<String, ServiceLoad> services) {
+        this(
+                id,
+                incarnation,
+                sequence,
+                region,
+                zone,
+                callerAddress,
+                peerAddress,
+                ready,
+                draining,
+                revision,
+                platformReachable,
+                knownInstances,
+                services,
+                0);
+    }
+
     /**
      * Returns a copy of this state with the load of one service replaced.
      *
@@ -53,6 +104,16 @@
     public PeerState withLoad(String service, ServiceLoad load) {
         Map<String, ServiceLoad> updated = new HashMap<>(services);
         updated.put(service, load);
+        return withServices(updated);
+    }
+
+    /**
+     * Returns a copy of this state with the loads of all services replaced.
+     *
+     * @param loads the new loads
+     * @return the copy
+     */
+    public PeerState withServices(Map<String, ServiceLoad> loads) {
         return new PeerState(
                 id,
                 incarnation,
@@ -66,16 +127,7 @@
                 revision,
                 platformReachable,
                 knownInstances,
-                updated);
-    }
-
-    /**
-     * Returns whether this state is newer than another of the same instance.
-     *
-     * @param other the other state
-     * @return whether it has a later incarnation, or the same incarnation and a higher sequence number
-     */
-    public boolean isNewerThan(PeerState other) {
-        return incarnation > other.incarnation || (incarnation == other.incarnation && sequence > other.sequence);
+                loads,
+                version);
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -17,6 +19,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.Zone;
 import org.ibissaddle.internal.membership.RendezvousHash;
 
 /** Table of the other instances of the deployment. Not thread-safe; confined to one thread. */
@@ -43,34 +46,60 @@
     /** Smoothing factor of the moving average of round-trip times; it averages over about the last five. */
     private static final double ROUND_TRIP_SMOOTHING_FACTOR = 0.2;
 
-    /** Number of instances of other regions to which the instances of a region send in one round. */
-    private static final int REMOTE_TARGETS_PER_REGION = 4;
+    /** Maximum number of states of instances of an earlier version in a message. */
+    private static final int MAX_EARLIER_STATES = 8;
+    /** Maximum number of states in a message. */
+    private static final int MAX_STATES = 64;
+    /** Time in which a new state is sent to others unasked, in milliseconds: two rounds of messages. */
+    private static final long NEWS_MS = 1_000;
+    /** Maximum number of new states that are sent unasked in a message. */
+    private static final int MAX_NEWS = 8;
+    /** Number of loads of each other region that a message within a region relays. */
+    private static final int LOADS_PER_REGION = 3;
 
     /** Number of instances of another region among which an instance chooses when it forwards. */
     private static final int REGULAR_TARGETS = 3;
 
     private final InstanceId self;
     private final Region localRegion;
+    private final Zone localZone;
     private final boolean expectsOthers;
     private final long discoveredAtMs;
-    private final Map<InstanceId, PeerEntry> known = new HashMap<>();
+    private final SortedMap<InstanceId, PeerEntry> known = new TreeMap<>();
     private final Map<Region, Double> roundTripsMs = new HashMap<>();
+    private List<PeerState> alive = List.of();
+    /** Time at which the list of running instances has to be computed again. */
+    private long aliveUntilMs = Long.MIN_VALUE;
 
     /**
      * Creates an empty table.
      *
      * @param self the local instance, which is never added to the table
      * @param localRegion region of the local instance
+     * @param localZone availability zone of the local instance
      * @param expectsOthers whether the deployment has other instances
      * @param nowMs current time, milliseconds
      */
-    public PeerTable(InstanceId self, Region localRegion, boolean expectsOthers, long nowMs) {
+    public PeerTable(InstanceId self, Region localRegion, Zone localZone, boolean expectsOthers, long nowMs) {
         this.self = self;
         this.localRegion = localRegion;
+        this.localZone = localZone;
         this.expectsOthers = expectsOthers;
         this.discoveredAtMs = nowMs + DISCOVERY_MS;
     }
 
+    /**
+     * Creates an empty table of an instance in a region that is one availability zone of the same name.
+     *
+     * @param self the local instance, which is never added to the table
+     * @param localRegion region of the local instance
+     * @param expectsOthers whether the deployment has other instances
+     * @param nowMs current time, milliseconds
+     */
+    public PeerTable(InstanceId self, Region localRegion, boolean expectsOthers, long nowMs) {
+        this(self, localRegion, new Zone(localRegion.name()), expectsOthers, nowMs);
+    }
+
     /**
      * Stores a state when it is newer than the stored one of the same instance. A state that the instance sent itself,
      * or that has a new incarnation, also makes the instance reachable again.
@@ -81,19 +110,166 @@
      */
     public boolean update(RelayedState relayed, long nowMs) {
         PeerState state = relayed.state();
+        boolean direct = relayed.ageMs() == 0;
         if (state.id().equals(self) || relayed.ageMs() > EXPIRY_MS) {
             return false;
         }
-        PeerEntry before = known.get(state.id());
-        if (before != null && !state.isNewerThan(before.state)) {
+        PeerEntry entry = known.get(state.id());
+        if (entry != null && direct && entry.isRepeatedBy(state)) {
+            entry.unreachableUntilMs = 0;
+            aliveUntilMs = Long.MIN_VALUE;
+        }
+        if (entry != null && !entry.isOlderThan(state)) {
             return false;
         }
-        boolean restarted = before == null || before.state.incarnation() != state.incarnation();
-        long unreachableUntilMs = restarted || relayed.ageMs() == 0 ? 0 : before.unreachableUntilMs;
-        known.put(state.id(), new PeerEntry(state, nowMs - relayed.ageMs(), unreachableUntilMs));
+        boolean restarted = entry == null || entry.state.incarnation() != state.incarnation();
+        boolean changed = restarted || entry.state.version() != state.version();
+        if (entry == null) {
+            entry = new PeerEntry();
+            known.put(state.id(), entry);
+        }
+        boolean bringsLoads =
+                !state.services().isEmpty() || (direct && !state.region().equals(localRegion));
+        if (bringsLoads) {
+            entry.loadsAtMs = nowMs - relayed.ageMs();
+        }
+        entry.state = bringsLoads || entry.state == null ? state : state.withServices(entry.state.services());
+        entry.sequence = state.sequence();
+        entry.reportedAtMs = nowMs - relayed.ageMs();
+        entry.unreachableUntilMs = restarted || direct ? 0 : entry.unreachableUntilMs;
+        entry.changedAtMs = changed ? nowMs : entry.changedAtMs;
+        aliveUntilMs = Long.MIN_VALUE;
         return true;
     }
 
+    /**
+     * Applies what a message tells about instances other than its sender.
+     *
+     * @param update the contents of the message
+     * @param nowMs current time, milliseconds
+     */
+    public void apply(PeerUpdate update, long nowMs) {
+        update.states().forEach(state -> update(state, nowMs));
+        update.heartbeats().forEach(heartbeat -> refresh(heartbeat, nowMs));
+        update.loads().forEach(load -> updateLoad(load, nowMs));
+    }
+
+    /** A heartbeat of another version is ignored: the next response brings the state that belongs to it. */
+    private void refresh(Heartbeat heartbeat, long nowMs) {
+        PeerEntry entry = known.get(heartbeat.id());
+        if (entry == null || !heartbeat.isOfSameState(entry.state) || heartbeat.sequence() <= entry.sequence) {
+            return;
+        }
+        boolean wasFresh = entry.isFresh(nowMs);
+        entry.sequence = heartbeat.sequence();
+        entry.reportedAtMs = Math.max(entry.reportedAtMs, nowMs - heartbeat.ageMs());
+        if (!wasFresh) {
+            aliveUntilMs = Long.MIN_VALUE;
+        }
+    }
+
+    private void updateLoad(RelayedLoad load, long nowMs) {
+        PeerEntry entry = known.get(load.id());
+        if (entry == null || nowMs - load.ageMs() <= entry.loadsAtMs) {
+            return;
+        }
+        entry.state = entry.state.withServices(load.services());
+        entry.loadsAtMs = nowMs - load.ageMs();
+        aliveUntilMs = Long.MIN_VALUE;
+    }
+
+    /**
+     * Returns the contents of a message to another instance: heartbeats of all running instances, and states that have
+     * changed recently.
+     *
+     * @param recipientRegion region of the recipient, empty if it is unknown
+     * @param random source of randomness
+     * @param nowMs current time, milliseconds
+     * @return the contents
+     */
+    public PeerUpdate request(Optional<Region> recipientRegion, RandomGenerator random, long nowMs) {
+        List<RelayedState> states = earlierStates(random, nowMs);
+        known.values().stream()
+                .filter(entry -> entry.hasHeartbeat(nowMs) && nowMs - entry.changedAtMs <= NEWS_MS)
+                .sorted(Comparator.comparingLong((PeerEntry entry) -> entry.changedAtMs)
+                        .reversed())
+                .limit(MAX_NEWS)
+                .forEach(entry -> states.add(entry.relayed(nowMs)));
+        List<Heartbeat> heartbeats = new ArrayList<>(known.size());
+        for (PeerEntry entry : known.values()) {
+            if (entry.hasHeartbeat(nowMs)) {
+                heartbeats.add(entry.heartbeat(nowMs));
+            }
+        }
+        return new PeerUpdate(states, heartbeats, loadsFor(recipientRegion, random, nowMs));
+    }
+
+    /**
+     * Returns the contents of a response: what the sender of the request lacks according to its heartbeats.
+     *
+     * @param sender sender of the request
+     * @param senderRegion its region
+     * @param request heartbeats of the request
+     * @param random source of randomness
+     * @param nowMs current time, milliseconds
+     * @return the contents
+     */
+    public PeerUpdate response(
+            InstanceId sender, Region senderRegion, Collection<Heartbeat> request, RandomGenerator random, long nowMs) {
+        Map<InstanceId, Heartbeat> theirs = new HashMap<>();
+        request.forEach(heartbeat -> theirs.put(heartbeat.id(), heartbeat));
+        List<RelayedState> states = earlierStates(random, nowMs);
+        List<Heartbeat> heartbeats = new ArrayList<>();
+        for (PeerEntry entry : known.values()) {
+            if (!entry.hasHeartbeat(nowMs) || entry.state.id().equals(sender)) {
+                continue;
+            }
+            Heartbeat their = theirs.get(entry.state.id());
+            if (their == null || !their.isOfSameState(entry.state)) {
+                if (states.size() < MAX_STATES) {
+                    states.add(entry.relayed(nowMs));
+                }
+            } else if (their.sequence() < entry.sequence) {
+                heartbeats.add(entry.heartbeat(nowMs));
+            }
+        }
+        return new PeerUpdate(states, heartbeats, loadsFor(Optional.of(senderRegion), random, nowMs));
+    }
+
+    /** States of instances of an earlier version, which change without a change of the version number. */
+    private List<RelayedState> earlierStates(RandomGenerator random, long nowMs) {
+        List<PeerEntry> earlier = new ArrayList<>();
+        for (PeerEntry entry : known.values()) {
+            if (entry.isFresh(nowMs) && entry.state.version() == 0) {
+                earlier.add(entry);
+            }
+        }
+        return MessageTargets.sample(earlier, MAX_EARLIER_STATES, random).stream()
+                .map(entry -> entry.relayed(nowMs))
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    /** Instances of other regions report their loads to few instances of this one, which relay them to the others. */
+    private List<RelayedLoad> loadsFor(Optional<Region> recipientRegion, RandomGenerator random, long nowMs) {
+        if (recipientRegion.filter(localRegion::equals).isEmpty()) {
+            return List.of();
+        }
+        Map<Region, List<PeerEntry>> byRegion = new HashMap<>();
+        for (PeerEntry entry : known.values()) {
+            if (!entry.state.region().equals(localRegion)
+                    && entry.hasHeartbeat(nowMs)
+                    && nowMs - entry.loadsAtMs <= STALE_STATE_MS) {
+                byRegion.computeIfAbsent(entry.state.region(), region -> new ArrayList<>())
+                        .add(entry);
+            }
+        }
+        return byRegion.values().stream()
+                .flatMap(entries -> MessageTargets.sample(entries, LOADS_PER_REGION, random).stream())
+                .map(entry ->
+                        new RelayedLoad(entry.state.id(), entry.state.services(), Math.max(1, nowMs - entry.loadsAtMs)))
+                .toList();
+    }
+
     /**
      * Records a round-trip time to a region.
      *
@@ -124,9 +300,12 @@
      * @param nowMs current time, milliseconds
      */
     public void markUnreachable(Address peer, long nowMs) {
-        known.replaceAll((id, entry) -> entry.state.peerAddress().equals(peer)
-                ? new PeerEntry(entry.state, entry.reportedAtMs, nowMs + UNREACHABLE_HOLD_MS)
-                : entry);
+        for (PeerEntry entry : known.values()) {
+            if (entry.state.peerAddress().equals(peer)) {
+                entry.unreachableUntilMs = nowMs + UNREACHABLE_HOLD_MS;
+                aliveUntilMs = Long.MIN_VALUE;
+            }
+        }
     }
 
     /**
@@ -137,33 +316,75 @@
      * @param service the service
      */
     public void recordRefusal(Address peer, String service) {
-        known.replaceAll((id, entry) -> {
+        for (PeerEntry entry : known.values()) {
+            if (!entry.state.peerAddress().equals(peer)) {
+                continue;
+            }
+            PeerEntry reporter = latestLoads().getOrDefault(entry.state.region(), entry);
+            if (entry.state.services().isEmpty()) {
+                entry.state = entry.state.withServices(reporter.state.services());
+                entry.loadsAtMs = reporter.loadsAtMs;
+            }
             ServiceLoad load = entry.state.services().get(service);
-            if (!entry.state.peerAddress().equals(peer) || load == null) {
-                return entry;
+            if (load != null) {
+                entry.state = entry.state.withLoad(service, new ServiceLoad(0, load.waitMs()));
+                aliveUntilMs = Long.MIN_VALUE;
+            }
+        }
+    }
+
+    /** Returns the instance of each other region that has reported its load last. */
+    private Map<Region, PeerEntry> latestLoads() {
+        Map<Region, PeerEntry> latest = new HashMap<>();
+        for (PeerEntry entry : known.values()) {
+            if (!entry.state.region().equals(localRegion)
+                    && !entry.state.services().isEmpty()) {
+                latest.merge(
+                        entry.state.region(), entry, (one, other) -> one.loadsAtMs >= other.loadsAtMs ? one : other);
             }
-            return new PeerEntry(
-                    entry.state.withLoad(service, new ServiceLoad(0, load.waitMs())),
-                    entry.reportedAtMs,
-                    entry.unreachableUntilMs);
-        });
+        }
+        return latest;
     }
 
     /**
-     * Removes expired entries and returns the instances that are presumably running.
+     * Removes expired entries and returns the instances that are presumably running. An instance of another region
+     * whose own report is unknown has the latest load that any instance of its region has reported. The list is
+     * computed again only after a change, because each request reads it.
      *
      * @param nowMs current time, milliseconds
      * @return their states, ordered by instance id
      */
     public List<PeerState> alive(long nowMs) {
+        if (nowMs < aliveUntilMs) {
+            return alive;
+        }
         known.values().removeIf(entry -> nowMs - entry.reportedAtMs > EXPIRY_MS);
-        List<PeerState> alive = new ArrayList<>();
         for (PeerEntry entry : known.values()) {
-            if (nowMs - entry.reportedAtMs <= STALE_STATE_MS && nowMs >= entry.unreachableUntilMs) {
-                alive.add(entry.state);
+            if (nowMs - entry.loadsAtMs > STALE_STATE_MS
+                    && !entry.state.services().isEmpty()) {
+                entry.state = entry.state.withServices(Map.of());
+            }
+        }
+        Map<Region, PeerEntry> loads = latestLoads();
+        List<PeerState> running = new ArrayList<>(known.size());
+        long untilMs = nowMs + STALE_STATE_MS;
+        for (PeerEntry entry : known.values()) {
+            if (!entry.state.services().isEmpty()) {
+                untilMs = Math.min(untilMs, entry.loadsAtMs + STALE_STATE_MS + 1);
+            }
+            if (entry.isFresh(nowMs) && nowMs < entry.unreachableUntilMs) {
+                untilMs = Math.min(untilMs, entry.unreachableUntilMs);
+            } else if (entry.isFresh(nowMs)) {
+                untilMs = Math.min(untilMs, entry.reportedAtMs + STALE_STATE_MS + 1);
+                PeerEntry reporter = loads.getOrDefault(entry.state.region(), entry);
+                running.add(
+                        entry.state.services().isEmpty()
+                                ? entry.state.withServices(reporter.state.services())
+                                : entry.state);
             }
         }
-        alive.sort(Comparator.comparing(PeerState::id));
+        alive = List.copyOf(running);
+        aliveUntilMs = untilMs;
         return alive;
     }
 
@@ -253,7 +474,7 @@
      */
     public Optional<Region> regionOf(Address peer) {
         return known.values().stream()
-                .map(PeerEntry::state)
+                .map(entry -> entry.state)
                 .filter(state -> state.peerAddress().equals(peer))
                 .map(PeerState::region)
                 .findFirst();
@@ -261,14 +482,15 @@
 
     private Stream<InstanceId> othersInRegion(Region region) {
         return known.values().stream()
-                .map(PeerEntry::state)
+                .map(entry -> entry.state)
                 .filter(state -> state.region().equals(region))
                 .map(PeerState::id);
     }
 
     /**
-     * Selects random recent states to relay with a message. Half of those for another region are states of the local
-     * region, which it learns from few others; the rest lets instances of its own region find each other.
+     * Selects random recent states for an instance of an earlier version, which does not read heartbeats. Half of those
+     * for another region are states of the local region, which it learns from few others; the rest lets instances of
+     * its own region find each other.
      *
      * @param recipientRegion region of the recipient, empty if it is unknown
      * @param limit maximum number of states
@@ -279,7 +501,7 @@
     public List<RelayedState> statesToRelay(
             Optional<Region> recipientRegion, int limit, RandomGenerator random, long nowMs) {
         List<PeerEntry> shuffled = new ArrayList<>(known.values());
-        shuffled.removeIf(entry -> nowMs - entry.reportedAtMs > STALE_STATE_MS);
+        shuffled.removeIf(entry -> !entry.isFresh(nowMs));
         Collections.shuffle(shuffled, java.util.Random.from(random));
         List<PeerEntry> selected = new ArrayList<>();
         if (recipientRegion.isPresent() && !recipientRegion.get().equals(localRegion)) {
@@ -290,39 +512,21 @@
         }
         shuffled.removeAll(selected);
         shuffled.stream().limit(limit - selected.size()).forEach(selected::add);
-        return selected.stream()
-                .map(entry -> new RelayedState(entry.state, nowMs - entry.reportedAtMs))
-                .toList();
+        return selected.stream().map(entry -> entry.relayed(nowMs)).toList();
     }
 
     /**
-     * Selects the addresses to send the next message to. The instances of a region together send a constant number of
-     * messages to other regions, so that the traffic between regions does not grow with the deployment.
+     * Selects the addresses to send the next message to. Most are in the own availability zone; the instances of a zone
+     * together send a constant number of messages to the other zones of the region, and those of a region to other
+     * regions, so that the traffic between zones does not grow with the deployment.
      *
      * @param seeds addresses from the settings, without the local one
-     * @param limit maximum number of known instances
      * @param random source of randomness
+     * @param nowMs current time, milliseconds
      * @return random known instances, and one random seed that is not among the known instances, if any
      */
-    public List<Address> targets(Collection<Address> seeds, int limit, RandomGenerator random) {
-        List<Address> local = new ArrayList<>();
-        List<Address> remote = new ArrayList<>();
-        known.values()
-                .forEach(entry ->
-                        (entry.state.region().equals(localRegion) ? local : remote).add(entry.state.peerAddress()));
-        Collections.shuffle(local, java.util.Random.from(random));
-        Collections.shuffle(remote, java.util.Random.from(random));
-        double remoteShare = (double) REMOTE_TARGETS_PER_REGION / (local.size() + 1);
-        int remoteTargets = Math.min(Math.min(limit, remote.size()), (int) (remoteShare + random.nextDouble()));
-        List<Address> targets = new ArrayList<>(remote.subList(0, remoteTargets));
-        targets.addAll(local.subList(0, Math.min(limit - remoteTargets, local.size())));
-        List<Address> unknownSeeds = seeds.stream()
-                .filter(seed -> !local.contains(seed) && !remote.contains(seed))
-                .toList();
-        if (!unknownSeeds.isEmpty()) {
-            targets.add(unknownSeeds.get(random.nextInt(unknownSeeds.size())));
-        }
-        return targets;
+    public List<Address> targets(Collection<Address> seeds, RandomGenerator random, long nowMs) {
+        return MessageTargets.choose(known.values(), localRegion, localZone, seeds, random, nowMs);
     }
 
     /**
@@ -375,6 +579,4 @@
                                 state.services().get(service).waitMs())
                         .thenComparing(state -> state.services().get(service).freeSlots(), Comparator.reverseOrder()));
     }
-
-    private record PeerEntry(PeerState state, long reportedAtMs, long unreachableUntilMs) {}
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -92,7 +92,11 @@
         this.metrics = new GatewayMetrics();
         this.backends = createBackendRegistry(settings, startedMs);
         this.peers = new PeerTable(
-                settings.name(), settings.region(), !settings.seeds().isEmpty(), clock.nowMs());
+                settings.name(),
+                settings.region(),
+                settings.zone(),
+                !settings.seeds().isEmpty(),
+                clock.nowMs());
         this.regions = new RegionSelector(settings.region(), backends, peers);
         this.client = new HttpClient(loop, clock, this::onUnexpectedClose);
         this.serverSignals = new ServerSignals(this);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -29,6 +28,7 @@
 import org.ibissaddle.id.Region;
 import org.ibissaddle.peer.PeerState;
 import org.ibissaddle.peer.PeerTable;
+import org.ibissaddle.peer.PeerUpdate;
 import org.ibissaddle.peer.RelayedState;
 import org.ibissaddle.peer.ServiceLoad;
 import org.ibissaddle.quarantine.CrashUpdate;
@@ -40,10 +40,10 @@
     private static final String PATH = "/ibissaddle/peers";
     /** Interval between gossip rounds, milliseconds. */
     private static final long ROUND_INTERVAL_MS = 500;
-    /** Maximum number of recipients of a round; limits the traffic of large deployments. */
-    private static final int MAX_TARGETS = 5;
-    /** Maximum number of states of other instances in a message. */
+    /** Maximum number of states of other instances in a response to an instance of an earlier version. */
     private static final int MAX_RELAYED_STATES = 8;
+    /** Time for which the load of the servers is reported unchanged, milliseconds; computing it visits each server. */
+    private static final long LOADS_VALID_MS = 250;
     /**
      * Maximum number of changes of the platform's store in a message. They are sent in the order of their revisions, so
      * that the recipient asks for the rest in the next round.
@@ -66,8 +66,15 @@
     private final RandomGenerator random = new SplittableRandom(incarnation);
     private BooleanSupplier platformReachable = () -> false;
     private long sequence;
+    private int version = 1;
+    private Flags lastFlags = new Flags(false, false, false);
+    private Map<String, ServiceLoad> loads = Map.of();
+    private long loadsUntilMs = Long.MIN_VALUE;
     private List<String> lastAlive = List.of();
 
+    /** The part of the state of this instance whose changes have a version number. */
+    private record Flags(boolean ready, boolean draining, boolean platformReachable) {}
+
     PeerGossip(GatewayCore core) {
         this.core = core;
     }
@@ -91,11 +98,9 @@
     void handle(HttpRequest request, byte[] body, ResponseWriter to) {
         try {
             PeerMessage message = mapper.readValue(body, PeerMessage.class);
-            applyMessage(message, false);
-            byte[] reply = mapper.writeValueAsBytes(createMessage(
-                    message.knownRevision(),
-                    message.wantsChanges(),
-                    Optional.of(new Region(message.sender().region()))));
+            PeerUpdate received = message.toPeerUpdate();
+            applyMessage(message, received, false);
+            byte[] reply = mapper.writeValueAsBytes(createResponse(message, received));
             HttpHeaders headers = new DefaultHttpHeaders().set("Content-Type", "application/json");
             to.sendHead(HttpResponseStatus.OK, headers, reply.length);
             to.sendContent(Unpooled.wrappedBuffer(reply));
@@ -106,36 +111,65 @@
         }
     }
 
-    /** Returns the state of this instance, as sent to the others. */
+    /** Returns the state of this instance without the load of its servers. */
     PeerState localState() {
+        return localState(Map.of());
+    }
+
+    private PeerState localState(Map<String, ServiceLoad> services) {
         GatewaySettings settings = core.settings();
-        Map<String, ServiceLoad> services = new HashMap<>();
-        for (String service : core.backends().services()) {
-            core.backends()
-                    .predictedResponseMs(service, core.coldRateShare(), core.nowMs())
-                    .ifPresent(waitMs -> services.put(
-                            service, new ServiceLoad(core.backends().freeSlots(service, core.nowMs()), waitMs)));
+        Flags flags = new Flags(core.isReady(), core.isDraining(), platformReachable.getAsBoolean());
+        if (!flags.equals(lastFlags)) {
+            lastFlags = flags;
+            version++;
+            sequence++;
         }
         return new PeerState(
                 settings.name(),
                 incarnation,
-                ++sequence,
+                sequence,
                 settings.region(),
                 settings.zone(),
                 settings.callerAddress(),
                 settings.peerAddress(),
-                core.isReady(),
-                core.isDraining(),
+                flags.ready(),
+                flags.draining(),
                 core.catalog().revision(),
-                platformReachable.getAsBoolean(),
+                flags.platformReachable(),
                 core.peers().knownInstances(),
-                services);
+                services,
+                version);
+    }
+
+    /** Returns the load of the servers of this region, which only other regions use. */
+    private Map<String, ServiceLoad> loadsFor(Optional<Region> remoteRegion) {
+        if (remoteRegion.filter(core.settings().region()::equals).isPresent()) {
+            return Map.of();
+        }
+        long nowMs = core.nowMs();
+        if (nowMs >= loadsUntilMs) {
+            loads = computeLoads(nowMs);
+            loadsUntilMs = nowMs + LOADS_VALID_MS;
+        }
+        return loads;
+    }
+
+    private Map<String, ServiceLoad> computeLoads(long nowMs) {
+        Map<String, ServiceLoad> services = new HashMap<>();
+        for (String service : core.backends().services()) {
+            core.backends()
+                    .predictedResponseMs(service, core.coldRateShare(), nowMs)
+                    .ifPresent(waitMs -> services.put(
+                            service, new ServiceLoad(core.backends().freeSlots(service, nowMs), waitMs)));
+        }
+        return services;
     }
 
     private void sendRound() {
         List<CatalogEvent> expired = core.catalog().applyDeferredRemovals(core.nowMs());
         core.applyCatalogEvents(expired, "grace-over");
-        for (Address target : core.peers().targets(core.settings().seeds(), MAX_TARGETS, random)) {
+        sequence++;
+        for (Address target : core.peers().targets(core.settings().seeds(), random, core.nowMs())) {
             send(target);
         }
         logMembershipChange();
@@ -143,8 +177,9 @@
 
     private void send(Address target) {
         try {
-            PeerMessage message =
-                    createMessage(Long.MAX_VALUE, false, core.peers().regionOf(target));
+            Optional<Region> region = core.peers().regionOf(target);
+            PeerUpdate update = core.peers().request(region, random, core.nowMs());
+            PeerMessage message = createMessage(List.of(), List.of(), region, update);
             byte[] body = mapper.writeValueAsBytes(message);
             HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH);
             request.headers().set("Host", target.toString()).set("Content-Length", body.length);
@@ -169,20 +204,19 @@
         }
         try {
             PeerMessage message = mapper.readValue(body, PeerMessage.class);
-            applyMessage(message, changesRequested && message.changes().size() < MAX_CHANGES);
+            boolean hasAllChanges = changesRequested && message.changes().size() < MAX_CHANGES;
+            applyMessage(message, message.toPeerUpdate(), hasAllChanges);
             core.peers().recordRoundTrip(message.sender().toPeerState().region(), tookMs);
         } catch (IOException | InvalidIdentifierException e) {
             core.log().notice("bad-peer-message", "reason", e.getMessage());
         }
     }
 
-    private void applyMessage(PeerMessage message, boolean hasAllChanges) {
+    private void applyMessage(PeerMessage message, PeerUpdate update, boolean hasAllChanges) {
         long nowMs = core.nowMs();
         PeerState sender = message.sender().toPeerState();
         core.peers().update(new RelayedState(sender, 0), nowMs);
-        for (PeerMessage.AgedState other : message.others()) {
-            core.peers().update(other.toRelayedState(), nowMs);
-        }
+        core.peers().apply(update, nowMs);
         core.crashGuard().merge(message.promptPartUpdate(), message.requestUpdate());
         for (PeerMessage.Leaving server : message.leaving()) {
             core.serverSignals().recordLeaving(server.toLeavingServer(), "peer");
@@ -195,23 +229,31 @@
         }
     }
 
-    private PeerMessage createMessage(long remoteRevision, boolean remoteWantsChanges, Optional<Region> remoteRegion) {
-        List<CatalogItem> changes = remoteWantsChanges && core.catalog().revision() > remoteRevision
-                ? core.catalog().changesAfter(remoteRevision).stream()
+    private PeerMessage createResponse(PeerMessage request, PeerUpdate received) {
+        List<CatalogItem> changes = request.wantsChanges() && core.catalog().revision() > request.knownRevision()
+                ? core.catalog().changesAfter(request.knownRevision()).stream()
                         .sorted(Comparator.comparingLong(CatalogItem::revision))
                         .limit(MAX_CHANGES)
                         .toList()
                 : List.of();
-        List<PeerMessage.AgedState> others = new ArrayList<>();
-        for (RelayedState relayed :
-                core.peers().statesToRelay(remoteRegion, MAX_RELAYED_STATES, random, core.nowMs())) {
-            others.add(PeerMessage.AgedState.of(relayed));
-        }
+        PeerState sender = request.sender().toPeerState();
+        Optional<Region> region = Optional.of(sender.region());
+        List<RelayedState> others = request.heartbeats() != null
+                ? List.of()
+                : core.peers().statesToRelay(region, MAX_RELAYED_STATES, random, core.nowMs());
+        PeerUpdate update = request.heartbeats() == null
+                ? new PeerUpdate(List.of(), List.of(), List.of())
+                : core.peers().response(sender.id(), sender.region(), received.heartbeats(), random, core.nowMs());
+        return createMessage(others, changes, region, update);
+    }
+
+    private PeerMessage createMessage(
+            List<RelayedState> others, List<CatalogItem> changes, Optional<Region> remoteRegion, PeerUpdate update) {
         CrashUpdate promptParts = core.crashGuard().promptPartsFor(remoteRegion);
         CrashUpdate requests = core.crashGuard().requestsFor(remoteRegion);
         return new PeerMessage(
-                PeerMessage.State.of(localState()),
-                others,
+                PeerMessage.State.of(localState(loadsFor(remoteRegion))),
+                others.stream().map(PeerMessage.AgedState::of).toList(),
                 core.catalog().revision(),
                 !platformReachable.getAsBoolean(),
                 changes,
@@ -219,7 +261,10 @@
                 promptParts.proofs().stream().map(PeerMessage.Proof::of).toList(),
                 requests.marks().stream().map(PeerMessage.Mark::of).toList(),
                 requests.proofs().stream().map(PeerMessage.Proof::of).toList(),
-                leavingServersFor(remoteRegion));
+                leavingServersFor(remoteRegion),
+                update.states().stream().map(PeerMessage.CompactState::of).toList(),
+                HeartbeatText.encode(update.heartbeats()),
+                update.loads().stream().map(PeerMessage.Load::of).toList());
     }
 
     /** Servers without a start time are left out: their next incarnation would be excluded as well. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
@@ -1,11 +1,13 @@
 package org.ibissaddle.daemon.gateway;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.ibissaddle.backend.LeavingServer;
 import org.ibissaddle.catalog.CatalogItem;
 import org.ibissaddle.id.Address;
@@ -13,7 +15,10 @@
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.peer.Heartbeat;
 import org.ibissaddle.peer.PeerState;
+import org.ibissaddle.peer.PeerUpdate;
+import org.ibissaddle.peer.RelayedLoad;
 import org.ibissaddle.peer.RelayedState;
 import org.ibissaddle.peer.ServiceLoad;
 import org.ibissaddle.quarantine.Crash;
@@ -23,7 +28,7 @@
  * A message between instances, encoded as JSON.
  *
  * @param sender the sender's state
- * @param others states of other instances that the sender knows of
+ * @param others states of other instances, for recipients of an earlier version, which require the field
  * @param knownRevision highest revision of the platform's store that the sender has seen
  * @param wantsChanges whether the sender cannot reach the platform and requests the changes that it missed
  * @param changes changes that the recipient has missed
@@ -33,18 +38,25 @@
  * @param requestProofs fingerprints of marked requests that a server has survived
  * @param leaving backend servers of the sender's region that have announced that they are leaving; sent within the
  *     region only
+ * @param states states of other instances that the recipient presumably lacks
+ * @param heartbeats {@link HeartbeatText} of other instances; null if the sender has an earlier version
+ * @param loads loads of other regions; sent within the region only
  */
+@JsonInclude(JsonInclude.Include.NON_NULL)
 record PeerMessage(
         State sender,
         List<AgedState> others,
         long knownRevision,
         boolean wantsChanges,
         List<CatalogItem> changes,
-        List<Mark> partMarks,
-        List<Proof> partProofs,
-        List<Mark> requestMarks,
-        List<Proof> requestProofs,
-        List<Leaving> leaving) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Mark> partMarks,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Proof> partProofs,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Mark> requestMarks,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Proof> requestProofs,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Leaving> leaving,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<CompactState> states,
+        String heartbeats,
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Load> loads) {
     /** Reads a message of an instance of an earlier version as one without the parts that it does not know. */
     PeerMessage {
         partMarks = partMarks == null ? List.of() : List.copyOf(partMarks);
@@ -52,6 +64,23 @@
         requestMarks = requestMarks == null ? List.of() : List.copyOf(requestMarks);
         requestProofs = requestProofs == null ? List.of() : List.copyOf(requestProofs);
         leaving = leaving == null ? List.of() : List.copyOf(leaving);
+        states = states == null ? List.of() : List.copyOf(states);
+        loads = loads == null ? List.of() : List.copyOf(loads);
+    }
+
+    /**
+     * Returns what the message tells about other instances.
+     *
+     * @throws HeartbeatText.MalformedHeartbeatException if a heartbeat is malformed
+     */
+    PeerUpdate toPeerUpdate() throws HeartbeatText.MalformedHeartbeatException {
+        List<RelayedState> relayed = Stream.concat(
+                        others.stream().map(AgedState::toRelayedState),
+                        states.stream().map(CompactState::toRelayedState))
+                .toList();
+        List<Heartbeat> beats = heartbeats == null ? List.of() : HeartbeatText.decode(heartbeats);
+        return new PeerUpdate(
+                relayed, beats, loads.stream().map(Load::toRelayedLoad).toList());
     }
 
     /** A backend server that is leaving, and the start time of its process in epoch milliseconds. */
@@ -120,7 +149,8 @@
             long revision,
             boolean platformReachable,
             int knownInstances,
-            Map<String, ServiceLoad> services) {
+            Map<String, ServiceLoad> services,
+            int version) {
         static State of(PeerState state) {
             return new State(
                     state.id().name(),
@@ -135,7 +165,8 @@
                     state.revision(),
                     state.platformReachable(),
                     state.knownInstances(),
-                    state.services());
+                    state.services(),
+                    state.version());
         }
 
         PeerState toPeerState() {
@@ -152,7 +183,93 @@
                     revision,
                     platformReachable,
                     knownInstances,
-                    services == null ? Map.of() : services);
+                    services == null ? Map.of() : services,
+                    version);
+        }
+    }
+
+    /**
+     * A relayed state with short field names. Loads are sent separately, and the rest of the fields only by the
+     * instance itself.
+     */
+    record CompactState(
+            @JsonProperty("i") String id,
+            @JsonProperty("n") long incarnation,
+            @JsonProperty("q") long sequence,
+            @JsonProperty("v") int version,
+            @JsonProperty("r") String region,
+            @JsonProperty("z") String zone,
+            @JsonProperty("c") String callerAddress,
+            @JsonProperty("p") String peerAddress,
+            @JsonProperty("f") int flags,
+            @JsonProperty("k") int knownInstances,
+            @JsonProperty("a") long ageMs) {
+        private static final int READY = 1;
+        private static final int DRAINING = 2;
+        private static final int PLATFORM_REACHABLE = 4;
+
+        static CompactState of(RelayedState relayed) {
+            PeerState state = relayed.state();
+            return new CompactState(
+                    state.id().name(),
+                    state.incarnation(),
+                    state.sequence(),
+                    state.version(),
+                    state.region().name(),
+                    state.zone().name(),
+                    state.callerAddress().toString(),
+                    state.peerAddress().toString(),
+                    (state.ready() ? READY : 0)
+                            | (state.draining() ? DRAINING : 0)
+                            | (state.platformReachable() ? PLATFORM_REACHABLE : 0),
+                    state.knownInstances(),
+                    relayed.ageMs());
+        }
+
+        RelayedState toRelayedState() {
+            PeerState state = new PeerState(
+                    new InstanceId(id),
+                    incarnation,
+                    sequence,
+                    new Region(region),
+                    new Zone(zone),
+                    Address.parse(callerAddress),
+                    Address.parse(peerAddress),
+                    (flags & READY) != 0,
+                    (flags & DRAINING) != 0,
+                    0,
+                    (flags & PLATFORM_REACHABLE) != 0,
+                    knownInstances,
+                    Map.of(),
+                    version);
+            return new RelayedState(state, ageMs);
+        }
+    }
+
+    /** The load that an instance of another region reported, as free slots and wait in milliseconds of each service. */
+    record Load(
+            @JsonProperty("i") String id,
+            @JsonProperty("s") Map<String, long[]> services,
+            @JsonProperty("a") long ageMs) {
+        static Load of(RelayedLoad relayed) {
+            return new Load(
+                    relayed.id().name(),
+                    relayed.services().entrySet().stream()
+                            .collect(Collectors.toMap(Map.Entry::getKey, entry -> new long[] {
+                                entry.getValue().freeSlots(), entry.getValue().waitMs()
+                            })),
+                    relayed.ageMs());
+        }
+
+        RelayedLoad toRelayedLoad() {
+            return new RelayedLoad(
+                    new InstanceId(id),
+                    services.entrySet().stream()
+                            .filter(entry -> entry.getValue().length >= 2)
+                            .collect(Collectors.toMap(
+                                    Map.Entry::getKey,
+                                    entry -> new ServiceLoad((int) entry.getValue()[0], entry.getValue()[1]))),
+                    ageMs);
         }
     }
 
