Workspaces: keys are passed on as hashes, metrics per workspace, directory counts their homes

An instance passes the configuration on to instances that the store turns away, so that API keys would be in messages between instances. The catalog now stores and passes on hashes in place of the keys (ApiKeyHash), which the receiver compares with the hash of a caller's key.

Metrics count the requests and refusals of up to 64 workspaces, and of the others together. The directory counts requests by route and homes, since workspaces restrict the homes of a route.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
@@ -155,7 +155,7 @@
     }
 
     /**
-     * Returns the changes after a revision, including removals, to be sent to another instance.
+     * Returns the changes after a revision, including removals, to be sent to another instance; without secrets.
      *
      * @param after the revision
      * @return the changes with a later revision
@@ -177,7 +177,7 @@
     }
 
     private void store(CatalogItem change) {
-        items.put(change.key(), change);
+        items.put(change.key(), reader.withoutSecrets(change));
         if (change.isRemoved() && ++tombstoneCount > MAX_TOMBSTONES) {
             items.values().removeIf(CatalogItem::isRemoved);
             tombstoneCount = 0;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
@@ -3,10 +3,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.ibissaddle.id.Region;
 
 /** One version of the routes, services and limits declared by the operator. Immutable. */
 public final class Configuration {
@@ -18,6 +22,9 @@
     private final CallerLimits limits;
     private final List<WorkspaceSpec> workspaces;
     private final Map<String, WorkspaceSpec> workspacesByKey;
+    private final Map<String, WorkspaceSpec> workspacesByKeyHash;
+    /** One workspace for each set of home regions that some workspace has. */
+    private final List<WorkspaceSpec> workspacesWithDistinctHomes;
 
     /**
      * Creates a configuration without workspaces.
@@ -52,6 +59,12 @@
         Map<String, WorkspaceSpec> specsByKey = new HashMap<>();
         workspaces.forEach(workspace -> workspace.apiKeys().forEach(key -> specsByKey.put(key, workspace)));
         this.workspacesByKey = Map.copyOf(specsByKey);
+        Map<String, WorkspaceSpec> specsByHash = new HashMap<>();
+        workspaces.forEach(workspace -> workspace.apiKeyHashes().forEach(hash -> specsByHash.put(hash, workspace)));
+        this.workspacesByKeyHash = Map.copyOf(specsByHash);
+        Map<Set<Region>, WorkspaceSpec> specsByHomes = new LinkedHashMap<>();
+        workspaces.forEach(workspace -> specsByHomes.putIfAbsent(workspace.homeRegions(), workspace));
+        this.workspacesWithDistinctHomes = List.copyOf(specsByHomes.values());
         Map<String, List<Route>> routeLists = new HashMap<>();
         for (Route route : routes) {
             routeLists.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -113,6 +126,22 @@
         return List.copyOf(routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()));
     }
 
+    /**
+     * Returns the rules that apply to the requests of a host: its public routes, and the others once for each set of
+     * home regions that workspaces have.
+     *
+     * @param host the host
+     * @return the rules; the routes of the host without workspaces
+     */
+    public List<Route> rulesOf(String host) {
+        return routesOf(host).stream()
+                .flatMap(route -> hasWorkspaces() && !route.isPublic()
+                        ? workspacesWithDistinctHomes.stream()
+                                .flatMap(workspace -> route.forWorkspace(workspace).stream())
+                        : Stream.of(route))
+                .toList();
+    }
+
     /**
      * Returns the configuration of a service.
      *
@@ -157,6 +186,10 @@
      * @return the workspace, empty if no workspace of this version holds the key
      */
     public Optional<WorkspaceSpec> workspaceOf(String apiKey) {
-        return Optional.ofNullable(workspacesByKey.get(apiKey));
+        WorkspaceSpec known = workspacesByKey.get(apiKey);
+        if (known != null || workspacesByKeyHash.isEmpty()) {
+            return Optional.ofNullable(known);
+        }
+        return Optional.ofNullable(workspacesByKeyHash.get(ApiKeyHash.of(apiKey)));
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/WorkspaceSpec.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/WorkspaceSpec.java
@@ -13,13 +13,35 @@
  * @param priority priority of its requests in place of that of their routes, 0 is the highest; empty to use the route's
  * @param homeRegions regions that may serve its requests; empty for all
  * @param quota limit of its requests
+ * @param apiKeyHashes hashes of further keys that identify its callers, see {@link ApiKeyHash}; from other instances,
+ *     which do not pass on the keys
  */
 public record WorkspaceSpec(
-        WorkspaceId id, Set<String> apiKeys, OptionalInt priority, Set<Region> homeRegions, Quota quota) {
+        WorkspaceId id,
+        Set<String> apiKeys,
+        OptionalInt priority,
+        Set<Region> homeRegions,
+        Quota quota,
+        Set<String> apiKeyHashes) {
     /** Makes defensive copies of the collections. */
     public WorkspaceSpec {
         apiKeys = Set.copyOf(apiKeys);
         homeRegions = Set.copyOf(homeRegions);
+        apiKeyHashes = Set.copyOf(apiKeyHashes);
+    }
+
+    /**
+     * Creates the configuration of a workspace whose keys are all known.
+     *
+     * @param id the workspace
+     * @param apiKeys keys that identify its callers
+     * @param priority priority of its requests, empty to use the route's
+     * @param homeRegions regions that may serve its requests; empty for all
+     * @param quota limit of its requests
+     */
+    public WorkspaceSpec(
+            WorkspaceId id, Set<String> apiKeys, OptionalInt priority, Set<Region> homeRegions, Quota quota) {
+        this(id, apiKeys, priority, homeRegions, quota, Set.of());
     }
 
     /** Omits the keys, which are secret. */
--- a/ibissaddle-core/src/test/java/org/ibissaddle/route/ConfigurationTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/route/ConfigurationTest.java
@@ -112,6 +112,33 @@
             assertThat(configuration.hasWorkspaces()).isFalse();
         }
 
+        /** Guards against a directory that names only the homes of routes although workspaces are bound to others. */
+        @Test
+        void shouldListTheRulesOfAHostOnceForEachSetOfHomes() {
+            Route shop = new Route(
+                    "r",
+                    "shop.example",
+                    "/",
+                    RequestKind.IDEMPOTENT,
+                    1_000,
+                    100,
+                    0,
+                    List.of(),
+                    1,
+                    false,
+                    Set.of(),
+                    false);
+            List<WorkspaceSpec> workspaces = List.of(
+                    yards,
+                    workspace("b", "k", OptionalInt.empty(), "north"),
+                    workspace("c", "l", OptionalInt.empty(), "south"));
+            Configuration keyed = new Configuration(1, List.of(shop), List.of(), CallerLimits.DEFAULT, workspaces);
+
+            assertThat(keyed.rulesOf(shop.host()))
+                    .extracting(Route::homeRegions)
+                    .containsExactly(Set.of(new Region("north")), Set.of(new Region("south")));
+        }
+
         @Test
         void shouldNotPrintKeys() {
             assertThat(yards.toString()).doesNotContain("key-1");
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ErrorResponses.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ErrorResponses.java
@@ -9,8 +9,16 @@
 
 /** Error responses that the gateway itself creates. */
 final class ErrorResponses {
+    private static final double MS_PER_TENTH = 100;
+    private static final double TENTHS_PER_SECOND = 10;
+
     private ErrorResponses() {}
 
+    /** Returns a value of Retry-After: the time until then in seconds, rounded up to a tenth. */
+    static String secondsUntil(long atMs, long nowMs) {
+        return String.valueOf(Math.ceil(Math.max(0, atMs - nowMs) / MS_PER_TENTH) / TENTHS_PER_SECOND);
+    }
+
     /** Sends a complete response with the reason as JSON. */
     static void send(ResponseWriter to, HttpResponseStatus status, String reason, HttpHeaders headers) {
         String text = "{\"error\":\"" + reason.replace("\\", "\\\\").replace("\"", "'") + "\"}";
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -27,6 +27,7 @@
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.daemon.log.DecisionLog;
 import org.ibissaddle.dispatch.SharedRetryBudget;
+import org.ibissaddle.id.Region;
 import org.ibissaddle.peer.ConfigurationConfirmation;
 import org.ibissaddle.peer.PeerTable;
 import org.ibissaddle.peer.RegionSelector;
@@ -75,7 +76,7 @@
     private final MemoryBudget responseMemory = new MemoryBudget(RESPONSE_MEMORY_BYTES);
     private final GatewayMetrics metrics;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
-    private final Map<String, Long> requestsByRoute = new HashMap<>();
+    private final Map<CountedRule, Long> requestsByRule = new HashMap<>();
     private final Set<InboundHandler> connections = new HashSet<>();
     private final Set<Runnable> awaitingConfiguration = new LinkedHashSet<>();
     private boolean draining;
@@ -227,13 +228,20 @@
                 : catalog.configuration().flatMap(configuration -> configuration.route(host, path));
     }
 
+    /** A route and the homes of its requests, which differ among workspaces. */
+    private record CountedRule(String route, Set<Region> homes) {
+        static CountedRule of(Route rule) {
+            return new CountedRule(rule.name(), rule.homeRegions());
+        }
+    }
+
     void countRequest(Route route) {
-        requestsByRoute.merge(route.name(), 1L, Long::sum);
+        requestsByRule.merge(CountedRule.of(route), 1L, Long::sum);
     }
 
     /** Number of requests of a route so far, plus one so that an unused route has a weight above zero. */
     long requestCount(Route route) {
-        return requestsByRoute.getOrDefault(route.name(), 0L) + 1;
+        return requestsByRule.getOrDefault(CountedRule.of(route), 0L) + 1;
     }
 
     /** Shares of this instance in the request rates of the cold servers of its region. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
@@ -4,14 +4,23 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.ibissaddle.id.WorkspaceId;
 
 /** Counters and latency histograms of an instance, and their text format. */
 final class GatewayMetrics {
     private static final String PREFIX = "ibissaddle_";
     private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
+    /** Maximum number of workspaces with counters of their own; the requests of the others are summed. */
+    private static final int MAX_WORKSPACES = 64;
+
+    private static final String OTHER_WORKSPACES = "other";
+
+    private final Set<String> workspaces = new HashSet<>();
     private final MetricRegistry registry = new MetricRegistry();
 
     void recordResponse(String service, int status, long tookMs) {
@@ -41,6 +50,23 @@
         registry.counter("requests_total{outcome=\"" + outcome + "\"}").inc();
     }
 
+    void recordWorkspaceOutcome(WorkspaceId workspace, String outcome) {
+        registry.counter("workspace_requests_total{workspace=\"" + label(workspace) + "\",outcome=\"" + outcome + "\"}")
+                .inc();
+    }
+
+    void recordWorkspaceRefusal(WorkspaceId workspace, int status) {
+        registry.counter("workspace_refusals_total{workspace=\"" + label(workspace) + "\",status=\"" + status + "\"}")
+                .inc();
+    }
+
+    private String label(WorkspaceId workspace) {
+        if (workspaces.size() < MAX_WORKSPACES) {
+            workspaces.add(workspace.name());
+        }
+        return workspaces.contains(workspace.name()) ? workspace.name() : OTHER_WORKSPACES;
+    }
+
     /** Returns all metrics in the text exposition format. */
     String text() {
         StringBuilder text = new StringBuilder();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -294,6 +294,9 @@
             body.release();
             body = null;
         }
+        if (status.equals(HttpResponseStatus.UNAUTHORIZED)) {
+            core.metrics().recordRefusal("", status.code());
+        }
         ErrorResponses.send(this, status, reason, core.errorHeaders(status, fromPeer, true, false));
         core.log()
                 .notice(
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ManagementHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ManagementHandler.java
@@ -87,7 +87,7 @@
             String host = first(query, DirectoryProtocol.HOST_PARAMETER).orElse("");
             Set<Region> homes = core.catalog()
                     .configuration()
-                    .map(configuration -> EntryPointSelector.homes(configuration.routesOf(host), core::requestCount))
+                    .map(configuration -> EntryPointSelector.homes(configuration.rulesOf(host), core::requestCount))
                     .orElse(Set.of());
             List<PeerState> instances = new ArrayList<>(core.peers().alive(core.nowMs()));
             instances.add(core.peerGossip().localState());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -1,13 +1,11 @@
 package org.ibissaddle.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.time.Instant;
 import java.util.HashSet;
@@ -22,6 +20,7 @@
 import org.ibissaddle.dispatch.AttemptPolicy;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
+import org.ibissaddle.id.WorkspaceId;
 import org.ibissaddle.peer.PeerState;
 import org.ibissaddle.peer.RegionSelector;
 import org.ibissaddle.platform.HeaderDecoder;
@@ -42,12 +41,6 @@
     /** Maximum time that a request waits for the first configuration after the process starts, milliseconds. */
     private static final long MAX_CONFIGURATION_WAIT_MS = 500;
 
-    private static final double MS_PER_TENTH = 100;
-
-    private static final double TENTHS_PER_SECOND = 10;
-    /** Lowest priority that a server accepts. */
-    private static final int LOWEST_PRIORITY = 9;
-
     private final GatewayCore core;
     private final IncomingRequest request;
     private final ResponseWriter responseWriter;
@@ -384,14 +377,8 @@
     }
 
     private HttpRequest createHead(HttpHeaders headers) {
-        if (demand.promptTokens() > 0) {
-            headers.set(PlatformHeaders.PRIORITY, Math.min(LOWEST_PRIORITY, route.priority()));
-        }
-        headers.set(PlatformHeaders.DEADLINE_MS, Math.max(1, deadlineMs - core.nowMs()));
-        if (!relay.lastEventId().isEmpty()) {
-            headers.set(PlatformHeaders.LAST_EVENT_ID, relay.lastEventId());
-        }
-        return new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.target(), headers);
+        return RequestHeaders.head(
+                request, headers, demand, route.priority(), deadlineMs - core.nowMs(), relay.lastEventId());
     }
 
     private String lastEventId() {
@@ -536,12 +523,15 @@
             return;
         }
         core.metrics().recordRefusal(service, status.code());
+        chargedWorkspace().ifPresent(workspace -> core.metrics().recordWorkspaceRefusal(workspace, status.code()));
         log.refused(
                 access == null ? "" : access.route().name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun, mayHaveReachedServer);
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            retryAtMs().ifPresent(atMs -> headers.set(PlatformHeaders.RETRY_AFTER, secondsUntil(atMs)));
+            retryAtMs()
+                    .ifPresent(atMs ->
+                            headers.set(PlatformHeaders.RETRY_AFTER, ErrorResponses.secondsUntil(atMs, core.nowMs())));
         }
         ErrorResponses.send(responseWriter, status, reason, headers);
     }
@@ -557,11 +547,6 @@
         return isLocalAllowed() ? core.backends().heldOffUntilMs(service, core.nowMs()) : peerRetryAtMs;
     }
 
-    /** Returns the time until then in seconds, rounded up to a tenth. */
-    private String secondsUntil(long atMs) {
-        return String.valueOf(Math.ceil(Math.max(0, atMs - core.nowMs()) / MS_PER_TENTH) / TENTHS_PER_SECOND);
-    }
-
     private void finish(String outcome) {
         if (finished) {
             return;
@@ -582,5 +567,11 @@
         }
         request.body().release();
         core.recordOutcome(outcome);
+        chargedWorkspace().ifPresent(workspace -> core.metrics().recordWorkspaceOutcome(workspace, outcome));
+    }
+
+    /** Returns the workspace in whose metrics the request counts, at the instance that it reached first only. */
+    private Optional<WorkspaceId> chargedWorkspace() {
+        return request.forwarded() ? Optional.empty() : workspace().map(WorkspaceSpec::id);
     }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
@@ -1,14 +1,18 @@
 package org.ibissaddle.daemon.gateway;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.route.WorkspaceSpec;
 
@@ -33,6 +37,9 @@
     private static final Set<String> DROPPED_FROM_RESPONSES = names(HOP_BY_HOP, List.of("Content-Length"));
     private static final Set<String> END_TO_END = names(PlatformHeaders.END_TO_END, List.of());
 
+    /** Lowest priority that a server accepts. */
+    private static final int LOWEST_PRIORITY = 9;
+
     private RequestHeaders() {}
 
     /** Returns the headers of a request to forward, with the length of the body. */
@@ -69,6 +76,29 @@
         return headers;
     }
 
+    /**
+     * Adds what the gateway sets on the request to a server or another instance.
+     *
+     * @param remainingMs time until the deadline of the request, milliseconds
+     * @param lastEventId id of the last event that was relayed, empty for none
+     */
+    static HttpRequest head(
+            IncomingRequest request,
+            HttpHeaders headers,
+            RequestDemand demand,
+            int priority,
+            long remainingMs,
+            String lastEventId) {
+        if (demand.promptTokens() > 0) {
+            headers.set(PlatformHeaders.PRIORITY, Math.min(LOWEST_PRIORITY, priority));
+        }
+        headers.set(PlatformHeaders.DEADLINE_MS, Math.max(1, remainingMs));
+        if (!lastEventId.isEmpty()) {
+            headers.set(PlatformHeaders.LAST_EVENT_ID, lastEventId);
+        }
+        return new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.target(), headers);
+    }
+
     /** Some servers read an underscore in the name of a header as a hyphen, so that both spellings are removed. */
     private static HttpHeaders withoutIdentity(IncomingRequest request) {
         HttpHeaders headers = forRequest(request);
