Workspaces: fingerprints without keys are tested; retry times move out of RequestExchange

No change of behavior.

Evidence: RequestContentTest, WorkspaceAccessTest, RejectionsAcrossRegionsTest, CrashingRequestTest.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -188,7 +188,7 @@
         boolean fromInstance = server.isEmpty() && response.headers().contains(InternalHeaders.OUTCOME);
         if (fromInstance) {
             core.peers().recordRefusal(endpoint.address(), exchange.service());
-            exchange.recordPeerRefusal(response);
+            exchange.retryTime().recordPeerRefusal(response);
             boolean provenNotRun =
                     InternalHeaders.NOT_RUN.equals(response.headers().get(InternalHeaders.OUTCOME));
             return Optional.of(new Rejection(
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestAccess.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestAccess.java
@@ -47,6 +47,11 @@
         return current() instanceof Access.Granted next && namesSameWorkspace(next);
     }
 
+    /** Returns the latest grant; called only after a successful {@link #check}. */
+    Access.Granted granted() {
+        return granted.orElseThrow();
+    }
+
     /** Returns the matched route; with the priority and the homes of the workspace once access is granted. */
     Route route() {
         return granted.map(Access.Granted::route).orElse(matchedRoute);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestContent.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestContent.java
@@ -11,8 +11,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.id.Region;
+import org.ibissaddle.route.Access;
 
 /** The content of a request, by which the quarantine recognises it when it comes again under another id. */
 final class RequestContent {
@@ -21,10 +23,10 @@
 
     private final IncomingRequest request;
     private final RequestDemand demand;
-    private final RequestAccess access;
+    private final Supplier<Access.Granted> access;
     private String fingerprint = "";
 
-    RequestContent(IncomingRequest request, RequestDemand demand, RequestAccess access) {
+    RequestContent(IncomingRequest request, RequestDemand demand, Supplier<Access.Granted> access) {
         this.request = request;
         this.demand = demand;
         this.access = access;
@@ -37,7 +39,7 @@
 
     /** Returns the regions that the content is bound to, empty if it is unbound. */
     Set<Region> homes() {
-        return access.route().homeRegions();
+        return access.get().route().homeRegions();
     }
 
     /**
@@ -66,8 +68,11 @@
 
     /** Other instances learn the fingerprint, so that it must not depend on an API key. */
     private String caller() {
-        return access.isKeyed()
-                ? access.workspace().map(workspace -> workspace.id().name()).orElse("")
+        return access.get().keyed()
+                ? access.get()
+                        .workspace()
+                        .map(workspace -> workspace.id().name())
+                        .orElse("")
                 : header(HttpHeaderNames.AUTHORIZATION.toString());
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -4,13 +4,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
-import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.ibissaddle.backend.BackendServer;
 import org.ibissaddle.backend.RequestDemand;
@@ -65,8 +62,7 @@
     private boolean mayHaveRun;
     private boolean mayHaveReachedServer;
     private boolean waiting;
-    private Optional<RefusedContent> refusedContent = Optional.empty();
-    private OptionalLong peerRetryAtMs = OptionalLong.empty();
+    private final RetryTime retryTime;
     private boolean finished;
     private int possibleRuns;
     private int sends;
@@ -77,6 +73,7 @@
         this.responseWriter = responseWriter;
         this.id =
                 Optional.ofNullable(request.header(PlatformHeaders.REQUEST_ID)).orElse("");
+        this.retryTime = new RetryTime(core);
         this.log = new RequestLog(core, id, request.arrivedMs(), request.forwarded());
     }
 
@@ -119,7 +116,7 @@
                 request.header(PlatformHeaders.MODEL),
                 request.header(PlatformHeaders.TOKENS),
                 request.header(PlatformHeaders.PROMPT_PARTS));
-        content = new RequestContent(request, demand, access);
+        content = new RequestContent(request, demand, access::granted);
         suspect = core.crashGuard().isSuspect(content);
         deadlineMs = request.arrivedMs() + GatewayCore.effectiveTimeoutMs(route, request.headers());
         waitUntilMs = request.arrivedMs()
@@ -289,7 +286,8 @@
 
     /** Refuses a request whose content has crashed servers; returns whether it did. */
     private boolean refuseIfCrashing() {
-        refusedContent = core.crashGuard().check(content);
+        Optional<RefusedContent> refusedContent = core.crashGuard().check(content);
+        retryTime.recordContent(refusedContent);
         if (refusedContent.isEmpty()) {
             return false;
         }
@@ -406,14 +404,8 @@
         finish("answered");
     }
 
-    /** Records when an instance of a home region that refused the request can accept it. */
-    void recordPeerRefusal(HttpResponse response) {
-        String value = response.headers().get(PlatformHeaders.RETRY_AFTER);
-        if (value != null) {
-            OptionalLong periodMs = HeaderDecoder.decodeRetryAfter(value, Instant.now());
-            peerRetryAtMs =
-                    periodMs.isPresent() ? OptionalLong.of(core.nowMs() + periodMs.getAsLong()) : OptionalLong.empty();
-        }
+    RetryTime retryTime() {
+        return retryTime;
     }
 
     /** Whether another attempt would be made after a failure. */
@@ -528,25 +520,15 @@
                 access == null ? "" : access.route().name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun, mayHaveReachedServer);
-        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            retryAtMs()
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && route != null) {
+            retryTime
+                    .atMs(service, isLocalAllowed())
                     .ifPresent(atMs ->
                             headers.set(PlatformHeaders.RETRY_AFTER, ErrorResponses.secondsUntil(atMs, core.nowMs())));
         }
         ErrorResponses.send(responseWriter, status, reason, headers);
     }
 
-    /** Returns when the request can be accepted, if that is known. */
-    private OptionalLong retryAtMs() {
-        if (refusedContent.isPresent()) {
-            return OptionalLong.of(refusedContent.get().untilMs());
-        }
-        if (route == null) {
-            return OptionalLong.empty();
-        }
-        return isLocalAllowed() ? core.backends().heldOffUntilMs(service, core.nowMs()) : peerRetryAtMs;
-    }
-
     private void finish(String outcome) {
         if (finished) {
             return;
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/WorkspaceAccessTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/WorkspaceAccessTest.java
@@ -5,9 +5,12 @@
 import static org.ibissaddle.daemon.gateway.GatewayFixture.entry;
 import static org.ibissaddle.daemon.gateway.GatewayFixture.freeAddress;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.ibissaddle.id.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +30,7 @@
     private FakeBackendServer server;
     private Gateway gateway;
     private Address caller;
+    private ByteArrayOutputStream log;
 
     @BeforeEach
     void start() throws IOException {
@@ -36,7 +40,12 @@
         platform.put("servers/s1", entry(server.address()));
         caller = freeAddress();
         Address directory = freeAddress();
-        gateway = GatewayFixture.start("north", caller, directory, freeAddress(), List.of(), platform.address());
+        log = new ByteArrayOutputStream();
+        gateway = Gateway.start(
+                GatewayFixture.settings(
+                        "north-1", "north", caller, directory, freeAddress(), List.of(), platform.address()),
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                log);
         GatewayFixture.awaitReadiness(directory, 200);
     }
 
@@ -106,6 +115,39 @@
                     .doesNotContain("100 Continue");
         }
 
+        /** Guards against keys in log lines, metrics and error texts, also when the head cannot be parsed. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Authorization: Token secret-key\r\n",
+                    "Authorization Token secret-key\r\n",
+                    "Authorization : Token secret-key\r\n",
+                    "Authorization: Token secret-key\u0001\r\n",
+                    "Authorization: Token\r\n secret-key\r\n",
+                    "Authorization: Token key-yards-1\r\nX-Deadline-Ms: 1\r\n",
+                    "Authorization: Token key-far\r\n"
+                })
+        void shouldNotRevealAKey(String headers) throws IOException {
+            String answer = get("/north/1", headers);
+            gateway.close();
+
+            assertThat(answer).startsWith("HTTP/1.1 ").doesNotContain("secret-key", "key-far", "key-yards");
+            assertThat(log.toString(StandardCharsets.UTF_8))
+                    .contains("event=started")
+                    .doesNotContain("secret-key", "key-far", "key-yards");
+        }
+
+        /** Guards against refusals that an operator cannot trace to a request and a configuration. */
+        @Test
+        void shouldLogTheRequestAndTheVersionOfTheConfiguration() throws IOException {
+            get("/any/1", "");
+            gateway.close();
+
+            assertThat(log.toString(StandardCharsets.UTF_8).lines())
+                    .anySatisfy(line ->
+                            assertThat(line).contains("event=refused", "request=7", "status=401", "configuration=1"));
+        }
+
         @Test
         void shouldRefuseAWorkspaceThatSharesNoHomeWithTheRoute() throws IOException {
             assertThat(get("/north/1", "Authorization: Token key-far\r\n")).startsWith("HTTP/1.1 503");
