Bound the prefill at an engine by what short prompts there tolerate

Engines prefill in the order of priority and arrival, so that a prompt of 17,000 tokens delays all short ones of its priority that arrive after it. The limit was a constant, one second of this instance's own prompts, for short and long prompts alike.

PrefillBudget limits the prefill in flight at an engine, that of a long prompt included, to half the objective of the recent short prompts of its priority and to the whole one of more urgent ones. A long prompt that exceeds the limit at every engine waits at the instance, until it would miss its own objective at the engine that is first to serve it; then the best engine gets it. The prefill of other instances' requests is estimated from their number and the average cost. Prompts that are cached need little prefill and are not held.

Long prompts get the next value of X-Request-Priority if the configuration does not use it, and the one of their route after 0.3 of their objective.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
@@ -35,6 +35,7 @@
     private final Set<LeavingServer> leaving = new LinkedHashSet<>();
     private final Map<String, EngineSpeedEstimate> speedsByService = new HashMap<>();
     private final ServerSelector selector;
+    private final EnginePriorities enginePriorities = new EnginePriorities();
     private Map<String, ServiceSpec> specs = Map.of();
 
     /**
@@ -77,8 +78,10 @@
             case CatalogEvent.ServerRemoved removed -> remove(removed.id());
             case CatalogEvent.EvacuationRequested requested -> evacuated.add(requested.zone());
             case CatalogEvent.EvacuationWithdrawn withdrawn -> endEvacuation(withdrawn.zone(), nowMs);
-            case CatalogEvent.ConfigurationPublished published ->
+            case CatalogEvent.ConfigurationPublished published -> {
                 specs = published.configuration().services();
+                enginePriorities.configure(published.configuration());
+            }
             case CatalogEvent.Malformed ignored -> {}
             case CatalogEvent.Ignored ignored -> {}
         }
@@ -197,6 +200,28 @@
      */
     public ServerSelectionResult selectServer(
             String service, RequestDemand demand, Set<ServerId> tried, ColdRateShare coldRateShare, long nowMs) {
+        return selectServer(service, demand, RequestTerms.NONE, tried, coldRateShare, nowMs);
+    }
+
+    /**
+     * Selects a server for a request with an objective. A long prompt is held for a time if short ones would have to
+     * wait too long behind it.
+     *
+     * @param service the service
+     * @param demand resources that the request needs
+     * @param terms priority and objective of the request
+     * @param tried servers to which the request was already sent
+     * @param coldRateShare the share of this instance in the request rate of each cold server
+     * @param nowMs current time in milliseconds
+     * @return the result of the selection
+     */
+    public ServerSelectionResult selectServer(
+            String service,
+            RequestDemand demand,
+            RequestTerms terms,
+            Set<ServerId> tried,
+            ColdRateShare coldRateShare,
+            long nowMs) {
         List<BackendServer> eligible = new ArrayList<>();
         for (BackendServer server : byService.getOrDefault(service, List.of())) {
             if (isEligible(server) && !tried.contains(server.entry().id())) {
@@ -223,12 +248,25 @@
                 .flatMap(spec -> cacheSource(service, demand));
         return selector.select(
                 eligible,
-                new ServerSelector.Request(service, serviceSpec(service), demand, source),
+                new ServerSelector.Request(service, serviceSpec(service), demand, terms, source),
                 speed(service),
                 coldRateShare,
                 nowMs);
     }
 
+    /**
+     * Returns the priority of a request at an engine. Short prompts come before long ones of the same priority, as far
+     * as the configuration leaves values between its priorities.
+     *
+     * @param terms priority and objective of the request
+     * @param uncachedTokens number of tokens to prefill
+     * @param nowMs current time in milliseconds
+     * @return 0 (first) to 9 (last)
+     */
+    public int enginePriority(RequestTerms terms, int uncachedTokens, long nowMs) {
+        return enginePriorities.of(terms, uncachedTokens, nowMs);
+    }
+
     /**
      * Returns how many more requests the healthy, warm servers of a service can accept.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendServer.java
@@ -35,6 +35,8 @@
     private ServerEntry entry;
     private int inFlight;
     private int otherInstancesRequests;
+    private int otherInstancesWaiting;
+    private int unprefilled;
     private long reportedAtMs = ServerSpeed.NEVER;
     private long backlogTokens;
     private long reservedKvTokens;
@@ -161,6 +163,26 @@
         return nowMs - reportedAtMs < MAX_REPORT_AGE_MS ? OptionalInt.of(otherInstancesRequests) : OptionalInt.empty();
     }
 
+    /** Estimates the tokens of other instances' requests that wait at the server, each of average length. */
+    long othersWaitingTokens(EngineSpeedEstimate service, long nowMs) {
+        return Math.round(service.uncachedTokens() * otherInstancesWaiting(nowMs));
+    }
+
+    private int otherInstancesWaiting(long nowMs) {
+        return nowMs - reportedAtMs < MAX_REPORT_AGE_MS ? otherInstancesWaiting : 0;
+    }
+
+    /**
+     * Estimates the tokens of other instances' requests that the server still has to prefill: all of the waiting
+     * requests and a fraction of the running ones, each of average length.
+     *
+     * @param others number of their requests at the server
+     */
+    double othersPrefillTokens(double others, EngineSpeedEstimate service, int tokensPerEvent, long nowMs) {
+        double waiting = Math.min(others, otherInstancesWaiting(nowMs));
+        return service.uncachedTokens() * (waiting + (others - waiting) * service.prefillFraction(tokensPerEvent));
+    }
+
     /**
      * Returns the age of the latest load report.
      *
@@ -294,6 +316,7 @@
             progressAtMs = nowMs;
         }
         inFlight++;
+        unprefilled++;
         backlogTokens += prefillTokens;
         reservedKvTokens += reservedTokens;
         if (!demand.promptParts().isEmpty()) {
@@ -327,6 +350,7 @@
      */
     public void updateLoad(LoadReport report, long nowMs) {
         otherInstancesRequests = Math.max(0, report.running() + report.waiting() - inFlight);
+        otherInstancesWaiting = Math.min(otherInstancesRequests, Math.max(0, report.waiting() - unprefilled));
         reportedAtMs = nowMs;
         if (report.slowdownPercent().isPresent()) {
             speed.report(report.slowdownPercent().getAsInt(), nowMs);
@@ -476,6 +500,7 @@
 
         private void completePrefill() {
             prefilled = true;
+            unprefilled--;
             backlogTokens -= prefillTokens;
         }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeedEstimate.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/EngineSpeedEstimate.java
@@ -25,6 +25,10 @@
     private long shortFirstEvents;
     private double typicalGapMs;
     private long gaps;
+    private final PrefillBudget prefillBudget = new PrefillBudget();
+    private double uncachedTokens;
+    private double outputTokens;
+    private long demands;
 
     void observePrefill(long tokens, long tookMs) {
         if (tokens < MIN_PREFILL_SAMPLE_TOKENS) {
@@ -45,6 +49,31 @@
                 : idleGapMs + (gapMs - idleGapMs) * IDLE_GAP_RISE_SMOOTHING;
     }
 
+    /** Returns the limit of the prefill in flight at an engine of the service. */
+    PrefillBudget prefillBudget() {
+        return prefillBudget;
+    }
+
+    /** Records the uncached prompt tokens and the output tokens of a request that is sent to an engine. */
+    void observeDemand(int uncached, int output) {
+        demands++;
+        double weight = Math.max(SMOOTHING, 1.0 / demands);
+        uncachedTokens += (uncached - uncachedTokens) * weight;
+        outputTokens += (output - outputTokens) * weight;
+    }
+
+    /** Returns the average number of uncached prompt tokens of a request. */
+    double uncachedTokens() {
+        return uncachedTokens;
+    }
+
+    /** Returns the fraction of its time at an idle engine for which an average request is in prefill. */
+    double prefillFraction(int tokensPerEvent) {
+        double prefillMs = prefillMs(uncachedTokens);
+        double decodeMs = outputTokens / Math.max(1, tokensPerEvent) * idleGapMs;
+        return prefillMs == 0 ? 0 : prefillMs / (prefillMs + decodeMs);
+    }
+
     /** Returns the time between events of an idle engine in milliseconds. */
     double idleGapMs() {
         return idleGapMs;
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSelectionResult.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSelectionResult.java
@@ -23,6 +23,16 @@
      */
     record AtCapacity(String reason) implements ServerSelectionResult {}
 
+    /**
+     * Servers have free slots, but a long prompt would make short ones miss their objectives there. It can still meet
+     * its own if it waits.
+     *
+     * @param untilMs time in milliseconds at which it is sent in any case
+     * @param waitMs predicted time in milliseconds to the first event if it were sent now
+     * @param reason why it is held
+     */
+    record Held(long untilMs, long waitMs, String reason) implements ServerSelectionResult {}
+
     /**
      * Every eligible server has requested not to receive requests for a while.
      *
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSelector.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSelector.java
@@ -29,8 +29,6 @@
     private static final double PREFERRED_SERVER_DISCOUNT = 0.5;
     /** Cost of each running request, expressed in prefill tokens. Weighs load against prefill. */
     private static final double PREFILL_TOKENS_PER_RUNNING_REQUEST = 60;
-    /** Maximum prefill backlog of an engine in milliseconds. Further requests wait, in order, at this instance. */
-    private static final double MAX_PREFILL_BACKLOG_MS = 1_000;
     /**
      * Time constant in milliseconds with which the estimated slowdown of a server decays. A random value for each
      * instance, so that the instances return to a server that was slow one after the other.
@@ -46,12 +44,20 @@
 
     private static final int NEAR_EQUAL_RUNNING_REQUESTS = 2;
     private static final int INITIAL_CANDIDATES = 16;
+    /** Added to the cost of a server whose prefill budget the request exceeds, so that the others come first. */
+    private static final double OVER_BUDGET_COST = 1e9;
+    /** Multiple of the predicted time to the first event that a held request still has when it is sent at last. */
+    private static final double HELD_SAFETY_FACTOR = 1.25;
+    /** Interval in milliseconds at which a held request is placed again. */
+    private static final long HELD_RETRY_MS = 25;
 
     private final Region region;
     private final Optional<RandomGenerator> random;
     private final double slowdownDecayMs;
     /** Costs of the candidates of the current choice; reused, since each request makes a choice. */
     private double[] costs = new double[INITIAL_CANDIDATES];
+    /** Shortest predicted time to the first event of the current request in milliseconds. */
+    private double earliestFirstEventMs;
 
     /**
      * A request for which a server is selected.
@@ -59,10 +65,15 @@
      * @param service name of the service
      * @param spec its configuration, empty if it is not declared
      * @param demand resources that the request needs
+     * @param terms priority and objective
      * @param cacheSource server from which the KV cache can be copied, empty for none
      */
     record Request(
-            String service, Optional<ServiceSpec> spec, RequestDemand demand, Optional<BackendServer> cacheSource) {}
+            String service,
+            Optional<ServiceSpec> spec,
+            RequestDemand demand,
+            RequestTerms terms,
+            Optional<BackendServer> cacheSource) {}
 
     /** Creates a selector that chooses the cheapest server if there is no source of randomness. */
     ServerSelector(Region region, Optional<RandomGenerator> random) {
@@ -85,15 +96,15 @@
             ColdRateShare coldRateShare,
             long nowMs) {
         List<BackendServer> candidates = withoutEjectedUnlessAllAre(accepting, nowMs);
-        RequestDemand demand = request.demand();
+        costs = costs.length < candidates.size() ? new double[candidates.size() * 2] : costs;
         Optional<EngineSpec> engine = request.spec().flatMap(ServiceSpec::engine);
-        Optional<BackendServer> source = request.cacheSource();
         double coldRate =
                 COLD_RATE_SHARE * request.spec().map(ServiceSpec::coldPerSecond).orElse(0.0);
-        BackendServer preferredServer = demand.promptParts().isEmpty() ? null : preferredServer(demand, candidates);
         double typicalOthers = typicalOtherInstancesRequests(candidates, nowMs);
-        costs = costs.length < candidates.size() ? new double[candidates.size() * 2] : costs;
         double lowestCost = Double.MAX_VALUE;
+        earliestFirstEventMs = Double.MAX_VALUE;
+        BackendServer preferredServer =
+                request.demand().promptParts().isEmpty() ? null : preferredServer(request.demand(), candidates);
         for (int i = 0; i < candidates.size(); i++) {
             BackendServer server = candidates.get(i);
             costs[i] = Double.MAX_VALUE;
@@ -101,30 +112,62 @@
             boolean coldRateExceeded = server.isCold(nowMs)
                     && !server.admitsColdRequest(
                             coldRate * coldRateShare.of(server.entry().id()), nowMs);
-            if (full || coldRateExceeded || !fitsKvCache(server, demand, engine)) {
-                continue;
-            }
-            double slowdown = slowdown(server, speed, nowMs);
-            boolean backlogTooLong = engine.isPresent()
-                    && slowdown * speed.prefillMs((double) server.backlogTokens()) > MAX_PREFILL_BACKLOG_MS;
-            if (backlogTooLong) {
+            if (full || coldRateExceeded || !fitsKvCache(server, request.demand(), engine)) {
                 continue;
             }
             OptionalInt others = server.otherInstancesRequests(nowMs);
-            double load = server.inFlight() + (others.isPresent() ? others.getAsInt() : typicalOthers);
+            double othersLoad = others.isPresent() ? others.getAsInt() : typicalOthers;
             costs[i] = engine.isEmpty()
-                    ? slowdown * (load + 1) / Math.max(1, server.entry().slots())
-                    : slowdown * engineMs(server, load, demand, server == preferredServer, source, engine.get(), speed);
+                    ? slowdown(server, speed, nowMs)
+                            * (server.inFlight() + othersLoad + 1)
+                            / Math.max(1, server.entry().slots())
+                    : engineCost(server, othersLoad, request, server == preferredServer, engine.get(), speed, nowMs);
             lowestCost = Math.min(lowestCost, costs[i]);
         }
         if (lowestCost == Double.MAX_VALUE) {
             return new ServerSelectionResult.AtCapacity("all servers of service " + request.service() + " in region "
                     + region + " have reached their load limit or the rate limit for cold servers");
         }
+        if (lowestCost >= OVER_BUDGET_COST) {
+            long sendAtMs = request.terms().objectiveAtMs()
+                    - HELD_RETRY_MS
+                    - Math.round(earliestFirstEventMs * HELD_SAFETY_FACTOR);
+            if (nowMs < sendAtMs) {
+                return new ServerSelectionResult.Held(
+                        sendAtMs,
+                        Math.round(earliestFirstEventMs),
+                        "the prefill in flight at all servers of service " + request.service() + " in region " + region
+                                + " leaves no room for a long prompt beside short ones");
+            }
+            lowestCost = withoutOverBudgetCost(candidates.size());
+        }
         BackendServer selected = chooseNearEqual(candidates, lowestCost, engine.isPresent() ? nearEqualMs(speed) : 0);
-        long waitMs = engine.isPresent() ? Math.round(predictWaitMs(selected, demand, speed, nowMs)) : 0;
+        if (engine.isPresent() && request.demand().promptTokens() > 0) {
+            recordChoice(request, selected, speed, nowMs);
+        }
+        long waitMs = engine.isPresent() ? Math.round(predictWaitMs(selected, request.demand(), speed, nowMs)) : 0;
         return new ServerSelectionResult.Selected(
-                selected, waitMs, source.filter(from -> selected.tokensToCopy(demand, from) > 0));
+                selected,
+                waitMs,
+                request.cacheSource().filter(from -> selected.tokensToCopy(request.demand(), from) > 0));
+    }
+
+    /** Makes the costs comparable again when the request exceeds the budget of every server; returns the lowest. */
+    private double withoutOverBudgetCost(int size) {
+        double lowestCost = Double.MAX_VALUE;
+        for (int i = 0; i < size; i++) {
+            costs[i] = costs[i] == Double.MAX_VALUE ? costs[i] : costs[i] - OVER_BUDGET_COST;
+            lowestCost = Math.min(lowestCost, costs[i]);
+        }
+        return lowestCost;
+    }
+
+    private void recordChoice(Request request, BackendServer selected, EngineSpeedEstimate speed, long nowMs) {
+        int uncachedTokens = selected.uncachedTokens(request.demand());
+        speed.observeDemand(uncachedTokens, request.demand().outputTokens());
+        if (uncachedTokens <= PrefillBudget.CHUNK_TOKENS && request.terms().hasObjective()) {
+            speed.prefillBudget().recordShort(request.terms(), nowMs);
+        }
     }
 
     private static double nearEqualMs(EngineSpeedEstimate speed) {
@@ -196,12 +239,9 @@
     /** Returns how much longer work currently takes on a server than on a typical server of its service. */
     double slowdown(BackendServer server, EngineSpeedEstimate service, long nowMs) {
         if (server.inFlight() > 0) {
-            server.speed()
-                    .observeStall(
-                            (double) server.stalledMs(nowMs),
-                            service.firstEventMs(server.backlogTokens()).orElse(0),
-                            slowdownDecayMs,
-                            nowMs);
+            long tokensAhead = server.backlogTokens() + server.othersWaitingTokens(service, nowMs);
+            double expectedMs = service.firstEventMs(tokensAhead).orElse(service.prefillMs((double) tokensAhead));
+            server.speed().observeStall((double) server.stalledMs(nowMs), expectedMs, slowdownDecayMs, nowMs);
         }
         return server.speed().slowdown(slowdownDecayMs, nowMs);
     }
@@ -215,26 +255,43 @@
     }
 
     /**
-     * Returns the delay in milliseconds that a request would experience and cause at an engine of the usual speed: the
-     * prefill ahead of it, its own, that of the running requests in equivalent tokens, and its first event.
+     * Returns the delay in milliseconds that a request would experience and cause at an engine: the prefill ahead of
+     * it, its own, that of the running requests in equivalent tokens, and its first event. The cost is higher than any
+     * delay if the request exceeds the prefill budget, and unlimited if the backlog of this instance is too long.
      */
-    private static double engineMs(
+    private double engineCost(
             BackendServer server,
-            double load,
-            RequestDemand demand,
+            double othersLoad,
+            Request request,
             boolean isPreferred,
-            Optional<BackendServer> source,
             EngineSpec engine,
-            EngineSpeedEstimate speed) {
-        int copiedTokens = source.isPresent() && source.get() != server ? server.tokensToCopy(demand, source.get()) : 0;
-        int uncachedSharedTokens = Math.max(0, demand.sharedTokens() - server.cachedTokens(demand) - copiedTokens);
-        double tokensToPrefill = server.uncachedTokens(demand)
-                - copiedTokens
-                - (isPreferred ? uncachedSharedTokens * PREFERRED_SERVER_DISCOUNT : 0);
+            EngineSpeedEstimate speed,
+            long nowMs) {
+        RequestDemand demand = request.demand();
+        double slowdown = slowdown(server, speed, nowMs);
+        if (slowdown * speed.prefillMs((double) server.backlogTokens()) > PrefillBudget.MAX_BACKLOG_MS) {
+            return Double.MAX_VALUE;
+        }
+        int cachedTokens = server.cachedTokens(demand);
+        int copiedTokens = request.cacheSource().isPresent()
+                ? server.tokensToCopy(demand, request.cacheSource().get())
+                : 0;
+        int uncachedTokens = Math.max(0, demand.promptTokens() - cachedTokens);
+        int uncachedSharedTokens = Math.max(0, demand.sharedTokens() - cachedTokens - copiedTokens);
+        double tokensToPrefill =
+                uncachedTokens - copiedTokens - (isPreferred ? uncachedSharedTokens * PREFERRED_SERVER_DISCOUNT : 0);
+        double othersTokens = server.othersPrefillTokens(othersLoad, speed, engine.tokensPerEvent(), nowMs);
+        double aheadMs = slowdown * speed.prefillMs(server.backlogTokens() + othersTokens);
+        double prefillMs = slowdown * speed.prefillMs(tokensToPrefill);
         double copyMs = copiedTokens == 0 ? 0 : engine.copyMs(copiedTokens);
-        return copyMs
-                + speed.idleGapMs()
-                + speed.prefillMs(server.backlogTokens() + tokensToPrefill + load * PREFILL_TOKENS_PER_RUNNING_REQUEST);
+        double firstEventMs = copyMs + aheadMs + prefillMs + slowdown * speed.idleGapMs();
+        earliestFirstEventMs = Math.min(earliestFirstEventMs, firstEventMs);
+        double load = server.inFlight() + othersLoad;
+        double cost = firstEventMs + slowdown * speed.prefillMs(load * PREFILL_TOKENS_PER_RUNNING_REQUEST);
+        boolean overBudget = tokensToPrefill > PrefillBudget.CHUNK_TOKENS
+                && request.terms().hasObjective()
+                && aheadMs + prefillMs > speed.prefillBudget().limitMs(request.terms(), prefillMs, nowMs);
+        return overBudget ? cost + OVER_BUDGET_COST : cost;
     }
 
     private static boolean fitsKvCache(BackendServer server, RequestDemand demand, Optional<EngineSpec> engine) {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/RegionSelector.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/RegionSelector.java
@@ -59,24 +59,24 @@
      */
     public Optional<PeerState> choose(Request request, ServerSelectionResult localChoice, long nowMs) {
         return switch (localChoice) {
-            case ServerSelectionResult.Selected found -> fasterPeer(request, found, nowMs);
+            case ServerSelectionResult.Selected found -> fasterPeer(request, found.waitMs(), nowMs);
+            case ServerSelectionResult.Held held -> fasterPeer(request, held.waitMs(), nowMs);
             case ServerSelectionResult.AtCapacity ignored -> peerWithCapacity(request, Long.MAX_VALUE, nowMs);
             case ServerSelectionResult.HeldOff ignored -> peerWithCapacity(request, Long.MAX_VALUE, nowMs);
             case ServerSelectionResult.NoServer ignored -> bestPeer(request, nowMs);
         };
     }
 
-    private Optional<PeerState> fasterPeer(Request request, ServerSelectionResult.Selected localChoice, long nowMs) {
+    private Optional<PeerState> fasterPeer(Request request, long localWaitMs, long nowMs) {
         long prefillMs = backends.prefillMs(request.service(), request.demand().promptTokens());
-        Optional<PeerState> sooner =
-                peerWithCapacity(request, localChoice.waitMs() - prefillMs - MIN_WAIT_REDUCTION_MS, nowMs);
+        Optional<PeerState> sooner = peerWithCapacity(request, localWaitMs - prefillMs - MIN_WAIT_REDUCTION_MS, nowMs);
         if (sooner.isPresent()) {
             return sooner;
         }
         long uncachedPrefillMs = backends.uncachedSharedPrefillMs(request.service(), request.demand());
         return uncachedPrefillMs == 0
                 ? Optional.empty()
-                : prefixOwner(request, uncachedPrefillMs, localChoice.waitMs() + uncachedPrefillMs, nowMs);
+                : prefixOwner(request, uncachedPrefillMs, localWaitMs + uncachedPrefillMs, nowMs);
     }
 
     /** Prefers the region that owns the shared parts of the prompt to the one with the shortest wait. */
--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
@@ -116,6 +116,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns all routes, in no particular order.
+     *
+     * @return the routes
+     */
+    public List<Route> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Returns the routes of a host.
      *
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import org.ibissaddle.backend.BackendServer;
 import org.ibissaddle.backend.RequestDemand;
+import org.ibissaddle.backend.RequestTerms;
 import org.ibissaddle.backend.ServerSelectionResult;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
@@ -65,6 +66,9 @@
     private boolean mayHaveRun;
     private boolean mayHaveReachedServer;
     private boolean waiting;
+    /** Whether the request waits only because its long prompt would delay short ones. */
+    private boolean held;
+
     private Optional<RefusedContent> refusedContent = Optional.empty();
     private OptionalLong peerRetryAtMs = OptionalLong.empty();
     private boolean finished;
@@ -149,11 +153,6 @@
         if (refuseIfAccessDenied() || refuseIfCrashing()) {
             return;
         }
-        if (core.nowMs() >= waitUntilMs) {
-            waiting = false;
-            refuseUnavailable("waited too long for a free server");
-            return;
-        }
         ServerSelectionResult selection = choose();
         if (selection instanceof ServerSelectionResult.Selected found) {
             waiting = false;
@@ -171,9 +170,15 @@
             refuseUnavailable("no instance of a home region of route " + route.name() + " can serve the request");
             return;
         }
-        if (selection instanceof ServerSelectionResult.HeldOff held && held.untilMs() > waitUntilMs) {
+        held = selection instanceof ServerSelectionResult.Held;
+        if (!held && core.nowMs() >= waitUntilMs) {
             waiting = false;
-            refuseUnavailable(held.reason());
+            refuseUnavailable("waited too long for a free server");
+            return;
+        }
+        if (selection instanceof ServerSelectionResult.HeldOff pause && pause.untilMs() > waitUntilMs) {
+            waiting = false;
+            refuseUnavailable(pause.reason());
         }
     }
 
@@ -211,6 +216,11 @@
         return request.arrivedMs();
     }
 
+    /** Whether the request waits only because its long prompt would delay short ones. */
+    boolean isHeld() {
+        return held;
+    }
+
     String service() {
         return service;
     }
@@ -259,9 +269,11 @@
             sendToPeer(peer.get());
             return;
         }
+        held = localSelection instanceof ServerSelectionResult.Held;
         switch (localSelection) {
             case ServerSelectionResult.Selected found -> sendToServer(found);
             case ServerSelectionResult.AtCapacity busy -> enqueue(busy.reason());
+            case ServerSelectionResult.Held delayed -> enqueue(delayed.reason());
             case ServerSelectionResult.HeldOff held -> enqueueOrRefuse(held);
             case ServerSelectionResult.NoServer absent -> refuseUnavailable(absent.reason());
         }
@@ -300,7 +312,7 @@
     }
 
     private void enqueue(String reason) {
-        if (core.nowMs() >= waitUntilMs || !core.requestQueue().hasRoom(service)) {
+        if ((!held && core.nowMs() >= waitUntilMs) || !core.requestQueue().hasRoom(service)) {
             refuseUnavailable(reason);
             return;
         }
@@ -332,24 +344,25 @@
         if (!isLocalAllowed()) {
             return new ServerSelectionResult.NoServer("this region is no home of route " + route.name());
         }
-        return core.backends().selectServer(service, demand, triedServers, core.coldRateShare(), core.nowMs());
+        return core.backends().selectServer(service, demand, terms(), triedServers, core.coldRateShare(), core.nowMs());
+    }
+
+    private RequestTerms terms() {
+        return new RequestTerms(route.priority(), request.arrivedMs(), request.arrivedMs() + route.targetLatencyMs());
     }
 
     private void sendToServer(ServerSelectionResult.Selected selection) {
         BackendServer server = selection.server();
         triedServers.add(server.entry().id());
-        HttpRequest head = createHead(access.headersForServer());
-        head.headers().set(PlatformHeaders.EXPECTED_SERVER, server.entry().id().name());
-        int copiedTokens = 0;
-        if (selection.cacheSource().isPresent()) {
-            BackendServer source = selection.cacheSource().get();
-            copiedTokens = server.tokensToCopy(demand, source);
-            head.headers()
-                    .set(
-                            PlatformHeaders.COPY_CACHE_FROM,
-                            source.entry().address().toString());
-        }
-        log.sent(selection, server.uncachedTokens(demand), copiedTokens);
+        int uncachedTokens = server.uncachedTokens(demand);
+        int copiedTokens = selection
+                .cacheSource()
+                .map(source -> server.tokensToCopy(demand, source))
+                .orElse(0);
+        int priority = priorityAtEngine(uncachedTokens);
+        HttpRequest head = createHead(access.headersForServer(), priority);
+        RequestHeaders.address(head.headers(), server, selection.cacheSource());
+        log.sent(selection, uncachedTokens, copiedTokens, priority);
         Optional<BackendServer.RequestHandle> placed =
                 Optional.of(server.requestSent(demand, copiedTokens, core.kvTokens(service), core.nowMs()));
         send(GatewayCore.endpoint(server), head, Optional.of(server), placed, ConnectionOptions.toServer(route));
@@ -357,7 +370,7 @@
 
     private void sendToPeer(PeerState peer) {
         triedPeers.add(peer.peerAddress());
-        HttpRequest head = createHead(access.headersForInstance());
+        HttpRequest head = createHead(access.headersForInstance(), route.priority());
         head.headers().set(InternalHeaders.FORWARDED_BY, core.settings().name().name());
         core.metrics().recordForward(service);
         Endpoint endpoint = new Endpoint(peer.id().name(), peer.peerAddress());
@@ -376,9 +389,13 @@
         attempt.start(head, body, options);
     }
 
-    private HttpRequest createHead(HttpHeaders headers) {
-        return RequestHeaders.head(
-                request, headers, demand, route.priority(), deadlineMs - core.nowMs(), relay.lastEventId());
+    private HttpRequest createHead(HttpHeaders headers, int priority) {
+        return RequestHeaders.head(request, headers, demand, priority, deadlineMs - core.nowMs(), relay.lastEventId());
+    }
+
+    /** Returns the priority at an engine that has to prefill a part of the prompt. */
+    private int priorityAtEngine(int uncachedTokens) {
+        return core.backends().enginePriority(terms(), uncachedTokens, core.nowMs());
     }
 
     private String lastEventId() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestHeaders.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.ibissaddle.backend.BackendServer;
 import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.route.WorkspaceSpec;
@@ -116,6 +117,13 @@
         return copy(response, DROPPED_FROM_RESPONSES);
     }
 
+    /** Addresses a request to a server, which copies its KV cache of the prompt from the source if there is one. */
+    static void address(HttpHeaders headers, BackendServer server, Optional<BackendServer> cacheSource) {
+        headers.set(PlatformHeaders.EXPECTED_SERVER, server.entry().id().name());
+        cacheSource.ifPresent(source -> headers.set(
+                PlatformHeaders.COPY_CACHE_FROM, source.entry().address().toString()));
+    }
+
     private static HttpHeaders copy(HttpHeaders from, Set<String> dropped) {
         Set<String> connectionOptions = connectionOptions(from);
         HttpHeaders copy = new DefaultHttpHeaders();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
@@ -30,7 +30,7 @@
         core.log().notice("caller-gone", "request", request, "afterMs", elapsedMs(), "answering", answering);
     }
 
-    void sent(ServerSelectionResult.Selected selection, int missingTokens, int copiedTokens) {
+    void sent(ServerSelectionResult.Selected selection, int missingTokens, int copiedTokens, int enginePriority) {
         BackendServer server = selection.server();
         core.log()
                 .info(
@@ -59,6 +59,10 @@
                         core.peers().instancesInRegion(core.settings().region()),
                         "unreadTokens",
                         server.backlogTokens(),
+                        "enginePriority",
+                        enginePriority,
+                        "waitedMs",
+                        elapsedMs(),
                         "missingTokens",
                         missingTokens,
                         "copiedTokens",
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestQueue.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestQueue.java
@@ -90,7 +90,7 @@
                 }
                 if (exchange.retryPlacement()) {
                     queue.remove(exchange);
-                } else {
+                } else if (!exchange.isHeld()) {
                     misses++;
                 }
             }
