--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -66,8 +66,7 @@
     /** Whether the request waits only because its long prompt would delay short ones. */
     private boolean held;
 
-    private Optional<RefusedContent> refusedContent = Optional.empty();
-    private OptionalLong peerRetryAtMs = OptionalLong.empty();
+    private final RetryTime retryTime;
     private boolean finished;
     private int possibleRuns;
     private int sends;
