Keep late responses to requests without an id out of response bodies

Cause: an idle connection that had carried a health check or a poll for cache events was used for the request of a caller. A late second response to a health check has no request id, so that within a body that ends with its connection it was taken for text: one head was relayed, and the second response to the request itself was found behind it (second-answer). Also, a body whose connection ended within the first 11 bytes of a second status line was relayed with these bytes.

Change: requests with an id never use a connection that has carried one without; that of a health check is closed. From "HTTP/" on, the beginning of a status line at the end of a connection fails the attempt.

Two tests wanted a body that ends with "HTTP/1.1 2" to be relayed. Nothing tells these bytes from a second response that was cut there, so by the rule that a forwarded body is a prefix of the first response they were wrong; they now want the failure, and that a body which ends with "HTTP" is relayed.

Up to 4 bytes of a cut second response still can't be told from text.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -45,6 +45,7 @@
     private boolean headReceived;
     private long bytesBeforeHead;
     private final Deque<String> requestIds = new ArrayDeque<>();
+    private boolean onlyIds = true;
     private Optional<SecondResponseScanner> scanner = Optional.empty();
     private boolean keepAlive;
     private boolean closing;
@@ -85,6 +86,11 @@
         channel.writeAndFlush(new DefaultLastHttpContent(body), channel.voidPromise());
     }
 
+    /** Whether all requests on the connection had an id, so that late responses to them are recognised. */
+    boolean hasOnlyIds() {
+        return onlyIds;
+    }
+
     void discard() {
         closing = true;
         if (channel != null) {
@@ -263,6 +269,7 @@
     private void recordRequestId() {
         String id = requestId();
         if (id == null) {
+            onlyIds = false;
             return;
         }
         if (requestIds.size() >= MAX_REQUEST_IDS) {
@@ -277,7 +284,7 @@
         headReceived = false;
         bytesBeforeHead = 0;
         idleSinceMs = clock.nowMs();
-        if (keepAlive && channel.isActive() && !decoder.hasUnreadBytes()) {
+        if (keepAlive && completed.keepsConnection() && channel.isActive() && !decoder.hasUnreadBytes()) {
             channel.config().setAutoRead(true);
             client.addIdle(endpoint, this);
         } else {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/HttpClient.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.port.Clock;
 
 /** An HTTP client with a pool of idle connections. All methods must be called on the event loop. */
@@ -31,7 +32,14 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Consumer<Endpoint> onUnexpectedClose;
-    private final Map<Endpoint, Deque<ClientConnection>> idleConnections = new HashMap<>();
+    private final Map<PoolKey, Deque<ClientConnection>> idleConnections = new HashMap<>();
+
+    /**
+     * Key of a pool of idle connections. A late second response to a request without an id, such as a health check, can
+     * only be told from the body of another response by its connection. Requests with an id therefore never use a
+     * connection that has carried one without.
+     */
+    private record PoolKey(Endpoint endpoint, boolean withIds) {}
 
     /**
      * Creates a client.
@@ -50,7 +58,8 @@
     /**
      * Options for sending a request.
      *
-     * @param maxIdleMs maximum idle time of a connection to reuse, in milliseconds; 0 opens a new connection
+     * @param maxIdleMs maximum idle time of a connection to reuse, in milliseconds; 0 opens a new connection that is
+     *     closed after the response
      * @param connectTimeoutMs timeout for opening a connection, in milliseconds
      */
     public record SendOptions(long maxIdleMs, int connectTimeoutMs) {}
@@ -68,7 +77,8 @@
     public Call send(
             Endpoint endpoint, HttpRequest head, ByteBuf body, SendOptions options, ResponseListener listener) {
         Call call = new Call(head, body, listener);
-        ClientConnection pooled = takeIdle(endpoint, options.maxIdleMs());
+        call.keepsConnection = options.maxIdleMs() > 0;
+        ClientConnection pooled = takeIdle(endpoint, call.hasId(), options.maxIdleMs());
         if (pooled != null) {
             pooled.start(call, true);
             return call;
@@ -99,14 +109,17 @@
      * @param endpoint the endpoint
      */
     public void closeIdleConnections(Endpoint endpoint) {
-        Deque<ClientConnection> connections = idleConnections.remove(endpoint);
-        if (connections != null) {
-            connections.forEach(ClientConnection::discard);
+        for (boolean withIds : new boolean[] {true, false}) {
+            Deque<ClientConnection> connections = idleConnections.remove(new PoolKey(endpoint, withIds));
+            if (connections != null) {
+                connections.forEach(ClientConnection::discard);
+            }
         }
     }
 
     void addIdle(Endpoint endpoint, ClientConnection connection) {
-        Deque<ClientConnection> connections = idleConnections.computeIfAbsent(endpoint, key -> new ArrayDeque<>());
+        Deque<ClientConnection> connections = idleConnections.computeIfAbsent(
+                new PoolKey(endpoint, connection.hasOnlyIds()), key -> new ArrayDeque<>());
         if (connections.size() >= MAX_IDLE_PER_ENDPOINT) {
             connections.pollLast().discard();
         }
@@ -114,20 +127,22 @@
     }
 
     void onIdleClosed(Endpoint endpoint, ClientConnection connection, boolean expected) {
-        Deque<ClientConnection> connections = idleConnections.get(endpoint);
+        PoolKey key = new PoolKey(endpoint, connection.hasOnlyIds());
+        Deque<ClientConnection> connections = idleConnections.get(key);
         if (connections == null || !connections.remove(connection)) {
             return;
         }
         if (connections.isEmpty()) {
-            idleConnections.remove(endpoint);
+            idleConnections.remove(key);
         }
         if (!expected) {
             onUnexpectedClose.accept(endpoint);
         }
     }
 
-    private ClientConnection takeIdle(Endpoint endpoint, long maxIdleMs) {
-        Deque<ClientConnection> connections = idleConnections.get(endpoint);
+    /** Takes an idle connection for a request with or without an id; returns null if there is none. */
+    ClientConnection takeIdle(Endpoint endpoint, boolean withId, long maxIdleMs) {
+        Deque<ClientConnection> connections = idleConnections.get(new PoolKey(endpoint, withId));
         if (connections == null || maxIdleMs <= 0) {
             return null;
         }
@@ -169,6 +184,7 @@
         private Channel channel;
         private boolean done;
         private boolean connectionReused;
+        private boolean keepsConnection = true;
 
         Call(HttpRequest head, ByteBuf body, ResponseListener listener) {
             this.head = head;
@@ -219,6 +235,11 @@
             return done;
         }
 
+        /** Returns whether other calls may use the connection afterwards. */
+        boolean keepsConnection() {
+            return keepsConnection;
+        }
+
         void attachChannel(Channel newChannel) {
             channel = newChannel;
         }
@@ -227,6 +248,10 @@
             return head;
         }
 
+        boolean hasId() {
+            return head.headers().contains(PlatformHeaders.REQUEST_ID);
+        }
+
         ByteBuf takeBody() {
             ByteBuf taken = body;
             body = Unpooled.EMPTY_BUFFER;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/SecondResponseScanner.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/SecondResponseScanner.java
@@ -16,6 +16,9 @@
     /** Start of a status line; each 0 stands for a digit. */
     private static final String STATUS_LINE_START = VERSION_PREFIX + "0 000";
 
+    /** Size from which held bytes at the end of a connection are taken for the beginning of a head, bytes. */
+    private static final int MIN_HEAD_BYTES = "HTTP/".length();
+
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}( [^\\r]*)?");
     private static final Pattern INTERIM_STATUS_LINE = Pattern.compile("HTTP/1\\.\\d 1\\d{2}( [^\\r]*)?");
     private static final Pattern HEADER = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\r]*");
@@ -69,9 +72,12 @@
         return found ? id : Optional.empty();
     }
 
-    /** Returns whether the bytes that are held back have a status line, so that they may belong to no body. */
+    /**
+     * Returns whether the bytes that are held back may be the beginning of another response. Up to four bytes are taken
+     * for text, since a body may well end with the letters of HTTP.
+     */
     boolean isInsideHead() {
-        return held.readableBytes() >= STATUS_LINE_START.length();
+        return held.readableBytes() >= MIN_HEAD_BYTES;
     }
 
     /** Returns the bytes that are held back, at the end of the body. */
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakeBackendServer.java
@@ -11,7 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -43,6 +45,7 @@
     private final AtomicLong endlessResponses = new AtomicLong();
     private volatile Behavior behavior;
     private final AtomicLong healthChecks = new AtomicLong();
+    private final Set<String> checkedConnections = ConcurrentHashMap.newKeySet();
     private volatile String healthHeaders = "";
 
     /** What happens to the connection after a response. */
@@ -113,6 +116,11 @@
         return healthChecks.get();
     }
 
+    /** Returns whether a health check came on the connection of a request. */
+    boolean hasCheckedHealth(Map<String, String> request) {
+        return checkedConnections.contains(request.get(CONNECTION));
+    }
+
     /** Returns the number of bytes sent in responses without end. */
     long endlessBytes() {
         return endlessBytes.get();
@@ -151,6 +159,7 @@
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (Map<String, String> request = read(in); request != null; request = read(in)) {
                 if (request.get("path").equals("/healthz")) {
+                    checkedConnections.add(String.valueOf(socket.getPort()));
                     send(socket, checkHealth(request), 0);
                     continue;
                 }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/SecondAnswerTest.java
@@ -216,6 +216,8 @@
         @ParameterizedTest
         @ValueSource(
                 strings = {
+                    "HTTP/",
+                    "HTTP/1.1 2",
                     "HTTP/1.1 200",
                     "HTTP/1.1 200 OK\r\n",
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: 7",
@@ -242,6 +244,29 @@
             assertThat(wholeBody(call(path, "7"))).isIn("incomplete", "HTTP/1.1 502 Bad Gateway");
         }
 
+        /**
+         * Guards against a late second response to a health check within a body without length: it has no request id,
+         * so that only its connection tells it from text.
+         */
+        @ParameterizedTest
+        @ValueSource(strings = {"/any/", "/once/", "/stream/", "/resumed/"})
+        void shouldNotRelayASecondResponseToAHealthCheck(String path) throws IOException {
+            server.respondWith(request -> FakeBackendServer.RESET);
+            call("/once/", "6");
+            String late = "HTTP/1.1 200 OK\r\nX-Instance-Id: s1\r\nContent-Length: 0\r\n\r\n";
+            server.respondWith(request -> {
+                String id = request.get("x-attempt-id");
+                return Framing.CLOSE.response(id, events(id))
+                        + PAUSE
+                        + (server.hasCheckedHealth(request) ? late : "")
+                        + PAUSE
+                        + Framing.LENGTH.response(id, events(id))
+                        + CLOSE;
+            });
+
+            assertThat(wholeBody(call(path, "7"))).isEqualTo(events("7"));
+        }
+
         /** Guards against a body that is cut where it quotes a response. */
         @ParameterizedTest
         @ValueSource(
@@ -249,7 +274,7 @@
                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: 8\r\nContent-Length: 5\r\n\r\nfirst",
                     "HTTP/1.1 200 OK\nX-Attempt-Id: 7\nno header\n\n",
-                    "HTTP/1.1 2",
+                    "HTTP",
                     "X-Attempt-Id: 7\r\n\r\n",
                 })
         void shouldRelayABodyThatQuotesAResponse(String quote) throws IOException {
