What an instance itself ends is no failure of a server or another instance

Cause, as in the fault of harmless requests that were refused as crashing: a stream that ended for lack of this instance's memory counted towards the ejection of its server, and another instance whose answer was malformed, too long or not processed was marked as unreachable.

Change: ResponseRelay says whether the server caused the error of a stream. ResponseCollector has a type for each failure; only a missing response marks an instance as unreachable.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -115,10 +115,13 @@
         recordTimeToFirstContent();
         recordContentGap();
         exchange.relay().onContent(content);
-        Optional<String> streamError = exchange.relay().streamError();
+        Optional<ResponseRelay.StreamError> streamError = exchange.relay().streamError();
         if (streamError.isPresent()) {
-            recordServerFailure();
-            endUnfinished(new Rejection(ExecutionEvidence.MAY_HAVE_RUN, true, streamError.get()));
+            if (streamError.get().fromServer()) {
+                recordServerFailure();
+            }
+            endUnfinished(new Rejection(
+                    ExecutionEvidence.MAY_HAVE_RUN, true, streamError.get().reason()));
             return;
         }
         if (!exchange.relay().isWritable()) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
@@ -89,7 +89,7 @@
                             MAX_RESPONSE_BYTES,
                             head -> core.serverSignals().record(server, head),
                             this::onResponse,
-                            this::onFailure)
+                            failure -> onFailure(failure.reason()))
                     .send(GatewayCore.endpoint(server), request, Unpooled.EMPTY_BUFFER, OPTIONS);
         }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -190,13 +190,22 @@
                             MAX_RESPONSE_BYTES,
                             (status, answer) ->
                                     onResponse(status, answer, message.wantsChanges(), core.nowMs() - sentMs),
-                            reason -> core.peers().markUnreachable(target, core.nowMs()))
+                            failure -> onFailure(target, failure))
                     .send(new Endpoint("peer", target), request, Unpooled.wrappedBuffer(body), OPTIONS);
         } catch (IOException e) {
             core.log().notice("peer-message-unwritable", "reason", e.getMessage());
         }
     }
 
+    /** An instance whose response can't be used is reachable, and a failure of this process says nothing about it. */
+    private void onFailure(Address target, ResponseCollector.Failure failure) {
+        if (failure instanceof ResponseCollector.Failure.NoResponse) {
+            core.peers().markUnreachable(target, core.nowMs());
+        } else {
+            core.log().notice("peer-message-failed", "peer", target, "reason", failure.reason());
+        }
+    }
+
     private void onResponse(int status, byte[] body, boolean changesRequested, long tookMs) {
         if (status != OK) {
             core.log().notice("peer-answered", "status", status);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseCollector.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseCollector.java
@@ -16,10 +16,35 @@
 
 /** Collects a small response in memory, within a limit of time and size. */
 final class ResponseCollector implements ResponseListener {
+    /** Why no response was collected. */
+    sealed interface Failure {
+        /** Returns a short description for logs. */
+        String reason();
+
+        /** The remote end was unreachable, closed the connection or did not respond in time. */
+        record NoResponse(String reason) implements Failure {}
+
+        /** The remote end is reachable: the response was invalid, too long or not processed. */
+        record UnusableResponse(String reason) implements Failure {}
+
+        /** The request failed for a lack of resources in this process. */
+        record NotTried(String reason) implements Failure {}
+
+        /** Returns the failure of a collected response for that of its call. */
+        static Failure of(CallFailure failure) {
+            return switch (failure) {
+                case CallFailure.NotSent refused -> new NoResponse(refused.reason());
+                case CallFailure.ConnectionLost lost -> new NoResponse(lost.reason());
+                case CallFailure.InvalidResponse invalid -> new UnusableResponse(invalid.reason());
+                case CallFailure.LocalError error -> new NotTried(error.reason());
+            };
+        }
+    }
+
     private final GatewayCore core;
     private final Consumer<HttpResponse> onHead;
     private final BiConsumer<Integer, byte[]> onResponse;
-    private final Consumer<String> onFailure;
+    private final Consumer<Failure> onFailure;
     private final long timeoutMs;
     private final int maxBytes;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -33,7 +58,7 @@
             long timeoutMs,
             int maxBytes,
             BiConsumer<Integer, byte[]> onResponse,
-            Consumer<String> onFailure) {
+            Consumer<Failure> onFailure) {
         this(core, timeoutMs, maxBytes, head -> {}, onResponse, onFailure);
     }
 
@@ -43,7 +68,7 @@
             int maxBytes,
             Consumer<HttpResponse> onHead,
             BiConsumer<Integer, byte[]> onResponse,
-            Consumer<String> onFailure) {
+            Consumer<Failure> onFailure) {
         this.core = core;
         this.onHead = onHead;
         this.timeoutMs = timeoutMs;
@@ -66,7 +91,7 @@
     @Override
     public void onContent(ByteBuf content) {
         if (body.size() + content.readableBytes() > maxBytes) {
-            end("response exceeds " + maxBytes + " bytes");
+            end(new Failure.UnusableResponse("response exceeds " + maxBytes + " bytes"));
             return;
         }
         try {
@@ -86,25 +111,25 @@
         } catch (RuntimeException e) {
             // The calling code has to make its next call as after any other failure.
             core.log().notice("response-not-processed", "status", status, "cause", e);
-            onFailure.accept("response could not be processed: " + e);
+            onFailure.accept(new Failure.UnusableResponse("response could not be processed: " + e));
         }
     }
 
     @Override
     public void onFailure(CallFailure failure) {
         if (finish()) {
-            onFailure.accept(failure.reason());
+            onFailure.accept(Failure.of(failure));
         }
     }
 
     private void expire() {
-        end("no response within " + timeoutMs + " ms");
+        end(new Failure.NoResponse("no response within " + timeoutMs + " ms"));
     }
 
-    private void end(String reason) {
+    private void end(Failure failure) {
         if (finish()) {
             call.cancel();
-            onFailure.accept(reason);
+            onFailure.accept(failure);
         }
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseRelay.java
@@ -111,15 +111,25 @@
         return eventStream && (partialEventBytes() > 0 || (!eventReceived && !isFramed()));
     }
 
+    /**
+     * Why the rest of a stream cannot be relayed.
+     *
+     * @param reason a short description for logs
+     * @param fromServer whether the server has caused it, rather than a limit of this instance
+     */
+    record StreamError(String reason, boolean fromServer) {}
+
     /** Returns why the rest of the stream cannot be relayed, empty if it can. */
-    Optional<String> streamError() {
+    Optional<StreamError> streamError() {
         if (malformedEvent) {
-            return Optional.of("malformed event id");
+            return Optional.of(new StreamError("malformed event id", true));
         }
-        if (memoryExhausted) {
-            return Optional.of("the memory for incomplete responses is exhausted");
+        if (events.isPartialEventTooLong()) {
+            return Optional.of(new StreamError("event exceeds the maximum size", true));
         }
-        return events.isPartialEventTooLong() ? Optional.of("event exceeds the maximum size") : Optional.empty();
+        return memoryExhausted
+                ? Optional.of(new StreamError("the memory for incomplete responses is exhausted", false))
+                : Optional.empty();
     }
 
     boolean isWritable() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -138,7 +138,12 @@
         responseDueMs = core.nowMs() + waitMs;
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target);
         request.headers().set("Host", store.address().toString());
-        new ResponseCollector(core, waitMs + RESPONSE_TIMEOUT_MS, MAX_RESPONSE_BYTES, onResponse, this::onFailure)
+        new ResponseCollector(
+                        core,
+                        waitMs + RESPONSE_TIMEOUT_MS,
+                        MAX_RESPONSE_BYTES,
+                        onResponse,
+                        failure -> onFailure(failure.reason()))
                 .send(store, request, Unpooled.EMPTY_BUFFER, OPTIONS);
     }
 
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/IsolationTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/IsolationTest.java
@@ -191,7 +191,7 @@
                         (status, body) -> {
                             throw new IllegalStateException("the response is not processed");
                         },
-                        failure::complete)
+                        ended -> failure.complete(ended.reason()))
                 .send(
                         new Endpoint("s1", server.address()),
                         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/any/7"),
