Let two instances of a zone read the store for the others

Cause: each of 122 instances watched the store with calls of at most 2 s, and each change woke all of them: 6,234 calls in 12 s.

The first one pushes changes; followers ask the readers alternately for the changes after the revision up to which they know everything. A message says which revisions its changes cover and from which revision its sender knows removals, so that a gap is noticed. Deferred removals are passed on with the rest of the reader's grace period.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.Zone;
 import org.ibissaddle.route.Configuration;
@@ -33,7 +34,11 @@
     private final Map<String, CatalogItem> deferredRemovals = new HashMap<>();
     private Optional<Configuration> configuration = Optional.empty();
     private long revision;
+    private long historyFrom = Long.MAX_VALUE;
     private long graceUntilMs;
+    /** End of the grace period of another instance, which is not reported to others: it would extend itself. */
+    private long otherGraceUntilMs;
+
     private int tombstoneCount;
 
     /**
@@ -86,6 +91,7 @@
             }
         }
         revision = Math.max(revision, atRevision);
+        historyFrom = Math.min(historyFrom, atRevision);
         return events;
     }
 
@@ -98,6 +104,27 @@
         graceUntilMs = nowMs + REPUBLISH_GRACE_MS;
     }
 
+    /**
+     * Extends the grace period to that of an instance that passes changes on, because removals that it has deferred are
+     * among them.
+     *
+     * @param leftMs rest of its grace period, milliseconds
+     * @param nowMs current time, milliseconds
+     */
+    public void extendGracePeriod(long leftMs, long nowMs) {
+        otherGraceUntilMs = Math.max(otherGraceUntilMs, nowMs + Math.min(leftMs, REPUBLISH_GRACE_MS));
+    }
+
+    /**
+     * Returns the rest of the grace period that follows an outage which this instance has noticed itself.
+     *
+     * @param nowMs current time, milliseconds
+     * @return milliseconds, 0 if there is none
+     */
+    public long graceLeftMs(long nowMs) {
+        return Math.max(0, graceUntilMs - nowMs);
+    }
+
     /**
      * Removes servers whose entries expired during an outage and were not published again within the grace period.
      *
@@ -105,7 +132,7 @@
      * @return the removals
      */
     public List<CatalogEvent> applyDeferredRemovals(long nowMs) {
-        if (deferredRemovals.isEmpty() || nowMs < graceUntilMs) {
+        if (deferredRemovals.isEmpty() || isGracePeriod(nowMs)) {
             return List.of();
         }
         List<CatalogEvent> events = new ArrayList<>();
@@ -155,18 +182,35 @@
     }
 
     /**
-     * Returns the changes after a revision, including removals, to be sent to another instance; without secrets.
+     * Returns the changes after a revision, including removals and those that are still deferred, to be sent to another
+     * instance; without secrets.
      *
      * @param after the revision
      * @return the changes with a later revision
      */
     public List<CatalogItem> changesAfter(long after) {
-        return items.values().stream().filter(item -> item.revision() > after).toList();
+        return Stream.concat(items.values().stream(), deferredRemovals.values().stream())
+                .filter(item -> item.revision() > after)
+                .toList();
+    }
+
+    /**
+     * Returns the revision from which all removals are known. Another instance that knows an earlier revision can't
+     * learn from this one what was removed in between.
+     *
+     * @return the revision, {@link Long#MAX_VALUE} if the platform was not read
+     */
+    public long historyFrom() {
+        return historyFrom;
+    }
+
+    private boolean isGracePeriod(long nowMs) {
+        return nowMs < graceUntilMs || nowMs < otherGraceUntilMs;
     }
 
     private void applyOrDefer(CatalogItem change, long nowMs, List<CatalogEvent> events) {
         CatalogEvent event = reader.decodeItem(change);
-        boolean deferRemoval = event instanceof CatalogEvent.ServerRemoved && nowMs < graceUntilMs;
+        boolean deferRemoval = event instanceof CatalogEvent.ServerRemoved && isGracePeriod(nowMs);
         if (deferRemoval) {
             deferredRemovals.put(change.key(), change);
             return;
@@ -181,6 +225,7 @@
         if (change.isRemoved() && ++tombstoneCount > MAX_TOMBSTONES) {
             items.values().removeIf(CatalogItem::isRemoved);
             tombstoneCount = 0;
+            historyFrom = historyFrom == Long.MAX_VALUE ? historyFrom : revision;
         }
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/MessageTargets.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/MessageTargets.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.id.Address;
@@ -45,6 +46,7 @@
             Region localRegion,
             Zone localZone,
             Collection<Address> seeds,
+            Optional<Address> reader,
             RandomGenerator random,
             long nowMs) {
         List<Address> inZone = new ArrayList<>();
@@ -67,8 +69,10 @@
         }
         int zoneSize = inZone.size() + 1;
         int regionSize = zoneSize + inRegion.size();
-        List<Address> targets = new ArrayList<>(
-                sample(inZone, zoneSize > SMALL_ZONE ? LARGE_ZONE_TARGETS : SMALL_ZONE_TARGETS, random));
+        reader.ifPresent(inZone::remove);
+        int zoneTargets = zoneSize > SMALL_ZONE ? LARGE_ZONE_TARGETS : SMALL_ZONE_TARGETS;
+        List<Address> targets = new ArrayList<>(sample(inZone, zoneTargets - (reader.isPresent() ? 1 : 0), random));
+        reader.ifPresent(targets::add);
         targets.addAll(sample(inRegion, share(REGION_TARGETS_PER_ZONE, zoneSize, random), random));
         targets.addAll(sample(remote, share(REMOTE_TARGETS_PER_REGION, regionSize, random), random));
         targets.addAll(sample(silent, Math.min(1, share(SILENT_TARGETS_PER_ZONE, zoneSize, random)), random));
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
@@ -20,11 +20,13 @@
  * @param ready whether it accepts requests from callers
  * @param draining whether it is shutting down; callers are sent to it only when no ready instance is preferred
  * @param revision highest platform revision that it has read; 0 if another instance relayed the state
- * @param platformReachable whether it can reach the platform
+ * @param platformReachable whether its calls to the platform's store succeed; false if it makes none
  * @param knownInstances number of instances that it knows, including itself; 0 if it has an earlier version
  * @param services load of the backend servers in its region, by service; empty within the region
- * @param version number that increases within the incarnation when {@code ready}, {@code draining} or
- *     {@code platformReachable} changes; 0 if it has an earlier version, which sends no heartbeats
+ * @param version number that increases within the incarnation when {@code ready}, {@code draining},
+ *     {@code platformReachable} or {@code followsReader} changes; 0 if it has an earlier version, which sends no
+ *     heartbeats
+ * @param followsReader whether it makes no calls to the store because it follows the readers of its zone
  */
 public record PeerState(
         InstanceId id,
@@ -40,7 +42,8 @@
         boolean platformReachable,
         int knownInstances,
         Map<String, ServiceLoad> services,
-        int version) {
+        int version,
+        boolean followsReader) {
     /** Makes a defensive copy of the map. */
     public PeerState {
         services = Map.copyOf(services);
@@ -91,7 +94,8 @@
                 platformReachable,
                 knownInstances,
                 services,
-                0);
+                0,
+                false);
     }
 
     /**
@@ -128,6 +132,7 @@
                 platformReachable,
                 knownInstances,
                 loads,
-                version);
+                version,
+                followsReader);
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -521,12 +521,15 @@
      * regions, so that the traffic between zones does not grow with the deployment.
      *
      * @param seeds addresses from the settings, without the local one
+     * @param reader the reader of the store in the own zone to ask for changes, if the local instance follows one; it
+     *     takes the place of a random instance
      * @param random source of randomness
      * @param nowMs current time, milliseconds
      * @return random known instances, and one random seed that is not among the known instances, if any
      */
-    public List<Address> targets(Collection<Address> seeds, RandomGenerator random, long nowMs) {
-        return MessageTargets.choose(known.values(), localRegion, localZone, seeds, random, nowMs);
+    public List<Address> targets(
+            Collection<Address> seeds, Optional<Address> reader, RandomGenerator random, long nowMs) {
+        return MessageTargets.choose(known.values(), localRegion, localZone, seeds, reader, random, nowMs);
     }
 
     /**
--- a/ibissaddle-core/src/test/java/org/ibissaddle/catalog/CatalogTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/catalog/CatalogTest.java
@@ -131,4 +131,51 @@
             assertThat(catalog.servers()).isEmpty();
         }
     }
+
+    /** Covers instances that are told of changes by an instance that reads the platform. */
+    @Nested
+    class Followers {
+        // A follower would miss the removal for good, because its revision is below that of later changes.
+        @Test
+        void shouldPassOnRemovalsThatAreDeferred() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+            catalog.startGracePeriod(1_000);
+            catalog.apply(List.of(item("server", null, 5)), 1_100);
+
+            assertThat(catalog.changesAfter(3)).containsExactly(item("server", null, 5));
+            assertThat(catalog.graceLeftMs(1_100)).isEqualTo(Catalog.REPUBLISH_GRACE_MS - 100);
+        }
+
+        // A follower has not noticed the outage itself, and would remove servers that publish themselves again.
+        @Test
+        void shouldDeferRemovalsForTheGracePeriodOfTheReader() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+            catalog.extendGracePeriod(900, 1_100);
+            catalog.apply(List.of(item("server", null, 5)), 1_100);
+
+            assertThat(catalog.applyDeferredRemovals(1_999)).isEmpty();
+            assertThat(catalog.applyDeferredRemovals(2_000)).hasSize(1);
+        }
+
+        // The transit time of each message would extend a grace period that instances tell each other, without end.
+        @Test
+        void shouldNotReportTheGracePeriodOfAnotherInstance() {
+            catalog.extendGracePeriod(900, 1_100);
+
+            assertThat(catalog.graceLeftMs(1_100)).isZero();
+        }
+
+        // A reader that has just started doesn't know what was removed before, and must not be taken as complete.
+        @Test
+        void shouldReportFromWhichRevisionRemovalsAreKnown() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+            assertThat(catalog.historyFrom()).isEqualTo(Long.MAX_VALUE);
+
+            catalog.applySnapshot(List.of(item("server", "ready", 3)), 9, 0);
+            catalog.applySnapshot(List.of(), 12, 0);
+
+            assertThat(catalog.historyFrom()).isEqualTo(9);
+            assertThat(catalog.changesAfter(9)).containsExactly(item("server", null, 12));
+        }
+    }
 }
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
@@ -71,12 +71,14 @@
                     true,
                     peers.knownInstances(),
                     recipient.equals(region) ? Map.of() : Map.of("engines", new ServiceLoad(1, 100)),
-                    draining ? 2 : 1);
+                    draining ? 2 : 1,
+                    false);
         }
 
         void sendRound(long nowMs) {
             sequence++;
-            for (Address target : peers.targets(List.of(instances.getFirst().address), random, nowMs)) {
+            for (Address target :
+                    peers.targets(List.of(instances.getFirst().address), Optional.empty(), random, nowMs)) {
                 Instance recipient = byAddress.get(target);
                 if (recipient.down) {
                     peers.markUnreachable(target, nowMs);
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerTableTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerTableTest.java
@@ -36,7 +36,8 @@
                 true,
                 0,
                 load == null ? Map.of() : Map.of("engines", load),
-                version);
+                version,
+                false);
     }
 
     private void learn(int version, long atMs) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -83,7 +83,7 @@
         StoreWatcher storeWatcher = new StoreWatcher(core);
         loop.execute(() -> {
             storeWatcher.start();
-            core.peerGossip().start(storeWatcher::isReachable);
+            core.peerGossip().start(storeWatcher);
             core.requestQueue().start();
             new CacheEventPoller(core).start();
             core.scheduleWithFixedDelay(gateway::closeTimedOutConnections, TIMEOUT_CHECK_INTERVAL_MS);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.catalog.CatalogItem;
@@ -64,23 +63,23 @@
             .build();
     private final long incarnation = System.currentTimeMillis();
     private final RandomGenerator random = new SplittableRandom(incarnation);
-    private BooleanSupplier platformReachable = () -> false;
+    private Optional<StoreWatcher> store = Optional.empty();
     private long sequence;
     private int version = 1;
-    private Flags lastFlags = new Flags(false, false, false);
+    private Flags lastFlags = new Flags(false, false, false, false);
     private Map<String, ServiceLoad> loads = Map.of();
     private long loadsUntilMs = Long.MIN_VALUE;
     private List<String> lastAlive = List.of();
 
     /** The part of the state of this instance whose changes have a version number. */
-    private record Flags(boolean ready, boolean draining, boolean platformReachable) {}
+    private record Flags(boolean ready, boolean draining, boolean platformReachable, boolean followsReader) {}
 
     PeerGossip(GatewayCore core) {
         this.core = core;
     }
 
-    void start(BooleanSupplier reachable) {
-        platformReachable = reachable;
+    void start(StoreWatcher storeWatcher) {
+        store = Optional.of(storeWatcher);
         sendRound();
         core.scheduleWithFixedDelay(this::sendRound, ROUND_INTERVAL_MS);
     }
@@ -118,7 +117,11 @@
 
     private PeerState localState(Map<String, ServiceLoad> services) {
         GatewaySettings settings = core.settings();
-        Flags flags = new Flags(core.isReady(), core.isDraining(), platformReachable.getAsBoolean());
+        Flags flags = new Flags(
+                core.isReady(),
+                core.isDraining(),
+                isPlatformReachable(),
+                store.map(StoreWatcher::isFollowing).orElse(false));
         if (!flags.equals(lastFlags)) {
             lastFlags = flags;
             version++;
@@ -138,7 +141,12 @@
                 flags.platformReachable(),
                 core.peers().knownInstances(),
                 services,
-                version);
+                version,
+                flags.followsReader());
+    }
+
+    private boolean isPlatformReachable() {
+        return store.map(StoreWatcher::isReachable).orElse(false);
     }
 
     /** Returns the load of the servers of this region, which only other regions use. */
@@ -169,17 +177,63 @@
         List<CatalogEvent> expired = core.catalog().applyDeferredRemovals(core.nowMs());
         core.applyCatalogEvents(expired, "grace-over");
         sequence++;
-        for (Address target : core.peers().targets(core.settings().seeds(), random, core.nowMs())) {
+        for (Address target : core.peers().targets(core.settings().seeds(), nextReader(), random, core.nowMs())) {
             send(target);
         }
         logMembershipChange();
     }
 
+    /** Returns the reader of the zone to ask for changes in this round, alternately. */
+    private Optional<Address> nextReader() {
+        List<PeerState> readers = store.map(StoreWatcher::readers).orElse(List.of());
+        return readers.isEmpty()
+                ? Optional.empty()
+                : Optional.of(readers.get((int) (sequence % readers.size())).peerAddress());
+    }
+
+    /**
+     * Sends changes of the store to the instances of the zone that follow this one; their next round repeats losses.
+     */
+    void pushChanges(long afterRevision) {
+        List<CatalogItem> changes = core.catalog().changesAfter(afterRevision);
+        if (changes.size() > MAX_CHANGES) {
+            return;
+        }
+        PeerMessage message = createMessage(
+                List.of(),
+                changes,
+                Optional.of(core.settings().region()),
+                new PeerUpdate(List.of(), List.of(), List.of()),
+                createFeed(afterRevision, knownRevision(), true));
+        for (PeerState state : core.peers().alive(core.nowMs())) {
+            if (state.zone().equals(core.settings().zone()) && state.followsReader()) {
+                send(state.peerAddress(), message);
+            }
+        }
+    }
+
+    private long knownRevision() {
+        return store.map(StoreWatcher::knownRevision).orElse(0L);
+    }
+
+    private PeerMessage.Feed createFeed(long afterRevision, long upToRevision, boolean pushed) {
+        return new PeerMessage.Feed(
+                afterRevision,
+                upToRevision,
+                core.catalog().historyFrom(),
+                core.catalog().graceLeftMs(core.nowMs()),
+                pushed);
+    }
+
     private void send(Address target) {
+        Optional<Region> region = core.peers().regionOf(target);
+        PeerUpdate update = core.peers().request(region, random, core.nowMs());
+        long known = knownRevision();
+        send(target, createMessage(List.of(), List.of(), region, update, createFeed(known, known, false)));
+    }
+
+    private void send(Address target, PeerMessage message) {
         try {
-            Optional<Region> region = core.peers().regionOf(target);
-            PeerUpdate update = core.peers().request(region, random, core.nowMs());
-            PeerMessage message = createMessage(List.of(), List.of(), region, update);
             byte[] body = mapper.writeValueAsBytes(message);
             HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, PATH);
             request.headers().set("Host", target.toString()).set("Content-Length", body.length);
@@ -230,7 +284,11 @@
         for (PeerMessage.Leaving server : message.leaving()) {
             core.serverSignals().recordLeaving(server.toLeavingServer(), "peer");
         }
+        if (message.feed() != null && sender.platformReachable()) {
+            core.catalog().extendGracePeriod(message.feed().graceMs(), nowMs);
+        }
         List<CatalogEvent> events = core.catalog().apply(message.changes(), nowMs);
+        store.ifPresent(watcher -> watcher.onPeerMessage(sender, message.feed()));
         core.confirmation().recordMessage(sender, hasAllChanges, core.catalog().revision(), nowMs);
         if (!message.changes().isEmpty()) {
             core.applyCatalogEvents(events, "peer");
@@ -245,26 +303,37 @@
                         .limit(MAX_CHANGES)
                         .toList()
                 : List.of();
+        boolean isCut = changes.size() == MAX_CHANGES;
+        long known = knownRevision();
+        PeerMessage.Feed feed = request.wantsChanges()
+                ? createFeed(request.knownRevision(), isCut ? changes.getLast().revision() - 1 : known, false)
+                : createFeed(known, known, false);
         PeerState sender = request.sender().toPeerState();
         Optional<Region> region = Optional.of(sender.region());
         List<RelayedState> others = request.heartbeats() != null
                 ? List.of()
                 : core.peers().statesToRelay(region, MAX_RELAYED_STATES, random, core.nowMs());
-        PeerUpdate update = request.heartbeats() == null
+        boolean asksNothing = request.heartbeats() == null
+                || (request.feed() != null && request.feed().pushed());
+        PeerUpdate update = asksNothing
                 ? new PeerUpdate(List.of(), List.of(), List.of())
                 : core.peers().response(sender.id(), sender.region(), received.heartbeats(), random, core.nowMs());
-        return createMessage(others, changes, region, update);
+        return createMessage(others, changes, region, update, feed);
     }
 
     private PeerMessage createMessage(
-            List<RelayedState> others, List<CatalogItem> changes, Optional<Region> remoteRegion, PeerUpdate update) {
+            List<RelayedState> others,
+            List<CatalogItem> changes,
+            Optional<Region> remoteRegion,
+            PeerUpdate update,
+            PeerMessage.Feed feed) {
         CrashUpdate promptParts = core.crashGuard().promptPartsFor(remoteRegion);
         CrashUpdate requests = core.crashGuard().requestsFor(remoteRegion);
         return new PeerMessage(
                 PeerMessage.State.of(localState(loadsFor(remoteRegion))),
                 others.stream().map(PeerMessage.AgedState::of).toList(),
-                core.catalog().revision(),
-                !platformReachable.getAsBoolean(),
+                knownRevision(),
+                !isPlatformReachable(),
                 changes,
                 promptParts.marks().stream().map(PeerMessage.Mark::of).toList(),
                 promptParts.proofs().stream().map(PeerMessage.Proof::of).toList(),
@@ -273,7 +342,8 @@
                 leavingServersFor(remoteRegion),
                 update.states().stream().map(PeerMessage.CompactState::of).toList(),
                 HeartbeatText.encode(update.heartbeats()),
-                update.loads().stream().map(PeerMessage.Load::of).toList());
+                update.loads().stream().map(PeerMessage.Load::of).toList(),
+                feed);
     }
 
     /** Servers without a start time are left out: their next incarnation would be excluded as well. */
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
@@ -41,6 +41,7 @@
  * @param states states of other instances that the recipient presumably lacks
  * @param heartbeats {@link HeartbeatText} of other instances; null if the sender has an earlier version
  * @param loads loads of other regions; sent within the region only
+ * @param feed how far {@code changes} reach; null if the sender has an earlier version
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 record PeerMessage(
@@ -56,7 +57,8 @@
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Leaving> leaving,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<CompactState> states,
         String heartbeats,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Load> loads) {
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Load> loads,
+        Feed feed) {
     /** Reads a message of an instance of an earlier version as one without the parts that it does not know. */
     PeerMessage {
         partMarks = partMarks == null ? List.of() : List.copyOf(partMarks);
@@ -68,6 +70,27 @@
         loads = loads == null ? List.of() : List.copyOf(loads);
     }
 
+    /**
+     * How far the changes in a message reach.
+     *
+     * @param after the message has all changes after this revision
+     * @param upTo and up to this one
+     * @param historyFrom revision from which the sender knows all removals
+     * @param graceMs rest of the sender's grace period after an outage of the store, milliseconds
+     * @param pushed whether the message was sent because of the changes; its response tells nothing else
+     */
+    record Feed(
+            @JsonProperty("a") long after,
+            @JsonProperty("r") long upTo,
+            @JsonProperty("h") long historyFrom,
+            @JsonProperty("g") long graceMs,
+            @JsonProperty("p") boolean pushed) {
+        /** Returns whether an instance that knows all changes up to a revision knows them up to {@code upTo} now. */
+        boolean continues(long knownRevision) {
+            return upTo <= knownRevision || (after <= knownRevision && historyFrom <= knownRevision);
+        }
+    }
+
     /**
      * Returns what the message tells about other instances.
      *
@@ -150,7 +173,8 @@
             boolean platformReachable,
             int knownInstances,
             Map<String, ServiceLoad> services,
-            int version) {
+            int version,
+            boolean followsReader) {
         static State of(PeerState state) {
             return new State(
                     state.id().name(),
@@ -166,7 +190,8 @@
                     state.platformReachable(),
                     state.knownInstances(),
                     state.services(),
-                    state.version());
+                    state.version(),
+                    state.followsReader());
         }
 
         PeerState toPeerState() {
@@ -184,7 +209,8 @@
                     platformReachable,
                     knownInstances,
                     services == null ? Map.of() : services,
-                    version);
+                    version,
+                    followsReader);
         }
     }
 
@@ -207,6 +233,7 @@
         private static final int READY = 1;
         private static final int DRAINING = 2;
         private static final int PLATFORM_REACHABLE = 4;
+        private static final int FOLLOWS_READER = 8;
 
         static CompactState of(RelayedState relayed) {
             PeerState state = relayed.state();
@@ -221,7 +248,8 @@
                     state.peerAddress().toString(),
                     (state.ready() ? READY : 0)
                             | (state.draining() ? DRAINING : 0)
-                            | (state.platformReachable() ? PLATFORM_REACHABLE : 0),
+                            | (state.platformReachable() ? PLATFORM_REACHABLE : 0)
+                            | (state.followsReader() ? FOLLOWS_READER : 0),
                     state.knownInstances(),
                     relayed.ageMs());
         }
@@ -241,7 +269,8 @@
                     (flags & PLATFORM_REACHABLE) != 0,
                     knownInstances,
                     Map.of(),
-                    version);
+                    version,
+                    (flags & FOLLOWS_READER) != 0);
             return new RelayedState(state, ageMs);
         }
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -12,6 +12,8 @@
 import org.ibissaddle.catalog.CatalogItem;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
+import org.ibissaddle.peer.PeerState;
+import org.ibissaddle.peer.StoreReaderElection;
 import org.ibissaddle.platform.MalformedMessageException;
 import org.ibissaddle.platform.StoreItemDecoder;
 import org.ibissaddle.platform.StoreProtocol;
@@ -20,10 +22,17 @@
  * Watches the platform's store: lists all items once, then watches for changes, and lists again when the store no
  * longer has the history. The store may end a waiting watch at any time, which is not an outage: a call that does not
  * wait then finds out whether the store responds.
+ *
+ * <p>An instance that follows the readers of its zone makes no calls. It learns changes from their messages, and calls
+ * the store from the last revision up to which it knows all changes.
  */
 final class StoreWatcher {
     /** Maximum duration of one watch call, milliseconds; bounds the time until a dead connection is detected. */
     private static final long WATCH_TIMEOUT_MS = 2_000;
+    /** The same for an instance that others follow, whose outage must be noticed sooner, milliseconds. */
+    private static final long SERVING_WATCH_TIMEOUT_MS = 1_000;
+    /** Interval between checks of an instance that follows a reader, milliseconds. */
+    private static final long FOLLOWER_CHECK_MS = 250;
     /** Maximum time to wait for a response that is due, milliseconds. */
     private static final long RESPONSE_TIMEOUT_MS = 1_500;
     /** Delay before the next watch call after a change, so that one call returns several changes, milliseconds. */
@@ -42,24 +51,63 @@
 
     private final GatewayCore core;
     private final Endpoint store;
+    private final StoreReaderElection election;
     private final List<CatalogItem> listedItems = new ArrayList<>();
     private long listRevision;
     private long watchFrom;
     private long responseDueMs;
     private long failingSinceMs = -1;
+    private boolean following;
 
     StoreWatcher(GatewayCore core) {
         this.core = core;
         this.store = new Endpoint("store", core.settings().storeAddress());
+        this.election =
+                new StoreReaderElection(core.settings().name(), core.settings().zone(), core.nowMs());
     }
 
     void start() {
         list("");
     }
 
-    /** Whether the store is reachable: calls to it have not failed for {@link #MIN_OUTAGE_MS} or longer. */
+    /** Whether this instance calls the store, and no calls have failed for {@link #MIN_OUTAGE_MS} or longer. */
     boolean isReachable() {
-        return failingSinceMs < 0 || core.nowMs() - failingSinceMs < MIN_OUTAGE_MS;
+        return !following && !isFailing();
+    }
+
+    /** Whether this instance follows the readers of its zone instead of calling the store. */
+    boolean isFollowing() {
+        return following;
+    }
+
+    /** Revision up to which all changes are known, 0 before the store was listed. */
+    long knownRevision() {
+        return watchFrom;
+    }
+
+    /** Returns the readers of the zone to ask for changes, none if this instance reads the store itself. */
+    List<PeerState> readers() {
+        return isReachable() ? List.of() : election.readers(running());
+    }
+
+    /** Records what a message of another instance told about changes, after those were applied. */
+    void onPeerMessage(PeerState sender, PeerMessage.Feed feed) {
+        boolean isReader = feed != null && feed.upTo() > 0 && sender.platformReachable();
+        if (!isReader || watchFrom == 0 || !feed.continues(watchFrom)) {
+            return;
+        }
+        watchFrom = Math.max(watchFrom, feed.upTo());
+        if (sender.zone().equals(core.settings().zone())) {
+            election.recordReader(core.nowMs());
+        }
+    }
+
+    private List<PeerState> running() {
+        return core.peers().alive(core.nowMs());
+    }
+
+    private boolean isFailing() {
+        return failingSinceMs >= 0 && core.nowMs() - failingSinceMs >= MIN_OUTAGE_MS;
     }
 
     private void list(String afterKey) {
@@ -90,8 +138,10 @@
             core.confirmation().recordStoreAnswer(core.nowMs());
             core.applyCatalogEvents(events, "store");
             core.markServersKnown();
-            watchFrom = listRevision;
-            watch();
+            long before = watchFrom;
+            watchFrom = Math.max(watchFrom, listRevision);
+            pushChangesAfter(before);
+            watchOrFollow(0);
         } catch (MalformedMessageException e) {
             onFailure("list: " + e.getMessage());
         }
@@ -99,7 +149,39 @@
 
     private void watch() {
         GatewaySettings.Revocation revocation = core.settings().platformLimits().revocation();
-        watch(revocation.strict() ? Math.min(WATCH_TIMEOUT_MS, revocation.revokeMs() / 2) : WATCH_TIMEOUT_MS);
+        long timeoutMs = election.servesZone(running()) ? SERVING_WATCH_TIMEOUT_MS : WATCH_TIMEOUT_MS;
+        watch(revocation.strict() ? Math.min(timeoutMs, revocation.revokeMs() / 2) : timeoutMs);
+    }
+
+    private void watchOrFollow(long delayMs) {
+        if (election.readsStore(running(), core.nowMs())) {
+            core.schedule(this::watch, delayMs);
+            return;
+        }
+        following = true;
+        core.log().notice("store-followed", "revision", watchFrom);
+        core.schedule(this::checkReaders, FOLLOWER_CHECK_MS);
+    }
+
+    /**
+     * Calls the store again when this instance has become a reader or hears from none. The readers may be silent
+     * because of an outage of the store, so that the first response ends an outage since the last message of a reader.
+     */
+    private void checkReaders() {
+        if (!election.readsStore(running(), core.nowMs())) {
+            core.schedule(this::checkReaders, FOLLOWER_CHECK_MS);
+            return;
+        }
+        following = false;
+        failingSinceMs = election.confirmedAtMs();
+        core.log().notice("store-read", "silentMs", core.nowMs() - failingSinceMs, "revision", watchFrom);
+        resume();
+    }
+
+    private void pushChangesAfter(long revision) {
+        if (revision > 0 && core.catalog().revision() > revision && election.pushesChanges(running())) {
+            core.peerGossip().pushChanges(revision);
+        }
     }
 
     private void watch(long waitMs) {
@@ -127,8 +209,12 @@
             List<CatalogEvent> events = core.catalog().apply(relevant, core.nowMs());
             core.confirmation().recordStoreAnswer(core.nowMs());
             core.applyCatalogEvents(events, "store");
+            long before = watchFrom;
             watchFrom = Math.max(watchFrom, changes.revision());
-            core.schedule(this::watch, changes.changes().isEmpty() && !regained ? 0 : WATCH_DELAY_MS);
+            if (!relevant.isEmpty()) {
+                pushChangesAfter(before);
+            }
+            watchOrFollow(changes.changes().isEmpty() && !regained ? 0 : WATCH_DELAY_MS);
         } catch (MalformedMessageException e) {
             onFailure("watch: " + e.getMessage());
         }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PeerTrafficTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PeerTrafficTest.java
@@ -74,12 +74,14 @@
                     true,
                     peers.knownInstances(),
                     loads,
-                    1);
+                    1,
+                    false);
         }
 
         void sendRound(long nowMs) throws JsonProcessingException {
             sequence++;
-            for (Address target : peers.targets(List.of(instances.getFirst().address), random, nowMs)) {
+            for (Address target :
+                    peers.targets(List.of(instances.getFirst().address), Optional.empty(), random, nowMs)) {
                 Instance recipient = byAddress.get(target);
                 if (recipient == this) {
                     continue;
@@ -105,7 +107,8 @@
                     List.of(),
                     update.states().stream().map(PeerMessage.CompactState::of).toList(),
                     HeartbeatText.encode(update.heartbeats()),
-                    update.loads().stream().map(PeerMessage.Load::of).toList());
+                    update.loads().stream().map(PeerMessage.Load::of).toList(),
+                    new PeerMessage.Feed(12_345, 12_345, 12_000, 0, false));
             int bytes = mapper.writeValueAsBytes(message).length;
             totalBytes += bytes;
             bytesBetweenZones += recipient.zone.equals(zone) ? 0 : bytes;
