Spread the polls of an engine's cache events over the polls that it holds

Cause: each instance let its poll wait for 1 s at the engine and sent the next after 2 s. Of 41 instances of a region a third wait at a time, 13.7 on average, and an engine that holds 12 answers the others with 429.

Change: CachePollSchedule derives the wait from the number of instances of the region and the number of polls that the engine holds.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/CacheEventPoller.java
@@ -7,20 +7,19 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.ibissaddle.backend.BackendServer;
+import org.ibissaddle.backend.CachePollSchedule;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.platform.KvCacheProtocol;
 import org.ibissaddle.platform.MalformedMessageException;
+import org.ibissaddle.route.EngineSpec;
 import org.ibissaddle.route.ServiceSpec;
 
 /** Polls the engines of the region for changes of their prompt caches, so that all instances have the same view. */
 final class CacheEventPoller {
     /** Interval between scans for new servers, milliseconds. */
     private static final long SCAN_INTERVAL_MS = 500;
-    /** Poll delay for each instance of the region; keeps the total poll rate of a server constant, milliseconds. */
-    private static final long DELAY_PER_INSTANCE_MS = 200;
-    /** Maximum delay between polls of a server, milliseconds; older cache events are of little use. */
-    private static final long MAX_DELAY_MS = 2_000;
     /** Delay after a failed poll, milliseconds. */
     private static final long FAILURE_DELAY_MS = 1_000;
     /** Maximum time to wait for a response that is due, milliseconds. */
@@ -30,10 +29,14 @@
     private static final int MAX_RESPONSE_BYTES = 1_048_576;
 
     private static final int OK = 200;
+    /** Status of a poll that the engine rejects because too many others wait. */
+    private static final int TOO_MANY_POLLS = 429;
+
     private static final HttpClient.SendOptions OPTIONS = new HttpClient.SendOptions(3_000, 300);
 
     private final GatewayCore core;
     private final Set<BackendServer> polledServers = new HashSet<>();
+    private final SplittableRandom random = new SplittableRandom();
 
     CacheEventPoller(GatewayCore core) {
         this.core = core;
@@ -57,6 +60,10 @@
 
     private final class ServerPoller {
         private final BackendServer server;
+        private final CachePollSchedule schedule = new CachePollSchedule(random);
+        /** The first poll isn't held, because all instances may have noticed the server at the same time. */
+        private long waitMs;
+
         private String epoch = "";
         private long nextSequence;
 
@@ -82,10 +89,10 @@
                     HttpVersion.HTTP_1_1, HttpMethod.GET, KvCacheProtocol.changesTarget(nextSequence));
             request.headers()
                     .set("Host", server.entry().address().toString())
-                    .set(KvCacheProtocol.WAIT_MS_HEADER, KvCacheProtocol.MAX_WAIT_MS);
+                    .set(KvCacheProtocol.WAIT_MS_HEADER, waitMs);
             new ResponseCollector(
                             core,
-                            KvCacheProtocol.MAX_WAIT_MS + RESPONSE_TIMEOUT_MS,
+                            waitMs + RESPONSE_TIMEOUT_MS,
                             MAX_RESPONSE_BYTES,
                             head -> core.serverSignals().record(server, head),
                             this::onResponse,
@@ -94,14 +101,19 @@
         }
 
         private void onResponse(int status, byte[] body) {
+            if (status == TOO_MANY_POLLS) {
+                core.log().info("server-cache-busy", "server", server.entry().id(), "waitMs", waitMs);
+                pollNext(false);
+                return;
+            }
             if (status != OK) {
                 onFailure("status " + status);
                 return;
             }
             try {
-                apply(KvCacheProtocol.decodeChanges(body));
-                int instances = core.peers().instancesInRegion(core.settings().region());
-                pollAfter(Math.min(MAX_DELAY_MS, DELAY_PER_INSTANCE_MS * instances));
+                KvCacheProtocol.Changes changes = KvCacheProtocol.decodeChanges(body);
+                apply(changes);
+                pollNext(!changes.changes().isEmpty());
             } catch (MalformedMessageException e) {
                 onFailure(e.getMessage());
             }
@@ -142,6 +154,18 @@
             pollAfter(FAILURE_DELAY_MS);
         }
 
+        private void pollNext(boolean hadNews) {
+            int maxHeld = core.backends()
+                    .serviceSpec(server.entry().service())
+                    .flatMap(ServiceSpec::engine)
+                    .map(EngineSpec::maxCachePolls)
+                    .orElse(Integer.MAX_VALUE);
+            int instances = core.peers().instancesInRegion(core.settings().region());
+            CachePollSchedule.Poll next = schedule.next(hadNews, maxHeld, instances, KvCacheProtocol.MAX_WAIT_MS);
+            waitMs = next.waitMs();
+            pollAfter(next.delayMs());
+        }
+
         private void pollAfter(long delayMs) {
             core.schedule(this::poll, delayMs);
         }
