Reject requests that waited too long at their instance, and report its lag

Cause: an instance whose event loop is late is listed to callers like the others, places requests that no server can answer in time, and its log does not say what the requests of callers that left have waited for.

Change: EventLoopLag decides with hysteresis whether an instance is behind; its state says so, and the directory lists it last. A request is rejected as not run before its first attempt when the rest of its timeout is shorter than the lag plus the prefill of its own prompt tokens. The caller-gone line has the time for the body, intake, configuration, quota, queue, server and other instance.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/EntryPointSelector.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/EntryPointSelector.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.peer;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,7 +39,7 @@
     /**
      * Selects the instances of the first non-empty group: ready instances in the caller's region or availability zone;
      * ready instances in a home region; draining instances in the caller's region or availability zone; draining
-     * instances in a home region; ready instances anywhere.
+     * instances in a home region; ready instances anywhere. Within a group, instances that are behind come last.
      *
      * @param instances the running instances, including the local one
      * @param region the caller's region
@@ -61,6 +62,7 @@
         for (Predicate<PeerState> preference : preferences) {
             List<Address> addresses = instances.stream()
                     .filter(preference)
+                    .sorted(Comparator.comparing(PeerState::behind))
                     .map(PeerState::callerAddress)
                     .limit(limit)
                     .toList();
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
@@ -24,9 +24,10 @@
  * @param knownInstances number of instances that it knows, including itself; 0 if it has an earlier version
  * @param services load of the backend servers in its region, by service; empty within the region
  * @param version number that increases within the incarnation when {@code ready}, {@code draining},
- *     {@code platformReachable} or {@code followsReader} changes; 0 if it has an earlier version, which sends no
- *     heartbeats
+ *     {@code platformReachable}, {@code followsReader} or {@code behind} changes; 0 if it has an earlier version, which
+ *     sends no heartbeats
  * @param followsReader whether it makes no calls to the store because it follows the readers of its zone
+ * @param behind whether its event loop is behind, so that callers are sent to others first
  */
 public record PeerState(
         InstanceId id,
@@ -43,7 +44,8 @@
         int knownInstances,
         Map<String, ServiceLoad> services,
         int version,
-        boolean followsReader) {
+        boolean followsReader,
+        boolean behind) {
     /** Makes a defensive copy of the map. */
     public PeerState {
         services = Map.copyOf(services);
@@ -95,6 +97,7 @@
                 knownInstances,
                 services,
                 0,
+                false,
                 false);
     }
 
@@ -133,6 +136,7 @@
                 knownInstances,
                 loads,
                 version,
-                followsReader);
+                followsReader,
+                behind);
     }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/route/Configuration.java
@@ -14,6 +14,7 @@
 
 /** One version of the routes, services and limits declared by the operator. Immutable. */
 public final class Configuration {
+    private final long shortestObjectiveMs;
     private final long version;
     /** Routes by lower-case host, sorted by descending length of the path prefix. */
     private final Map<String, List<Route>> routesByHost;
@@ -65,6 +66,8 @@
         Map<Set<Region>, WorkspaceSpec> specsByHomes = new LinkedHashMap<>();
         workspaces.forEach(workspace -> specsByHomes.putIfAbsent(workspace.homeRegions(), workspace));
         this.workspacesWithDistinctHomes = List.copyOf(specsByHomes.values());
+        this.shortestObjectiveMs =
+                routes.stream().mapToLong(Route::targetLatencyMs).min().orElse(Long.MAX_VALUE);
         Map<String, List<Route>> routeLists = new HashMap<>();
         for (Route route : routes) {
             routeLists.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -89,6 +92,15 @@
         return version;
     }
 
+    /**
+     * Returns the shortest latency objective of all routes.
+     *
+     * @return milliseconds, {@link Long#MAX_VALUE} if there are no routes
+     */
+    public long shortestObjectiveMs() {
+        return shortestObjectiveMs;
+    }
+
     /**
      * Returns the limits for callers.
      *
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
@@ -39,6 +39,35 @@
         return EntryPointSelector.choose(List.of(instances), NORTH, new Zone("north-a"), Set.of(SOUTH), 64);
     }
 
+    // Load pattern: a machine that is too slow for its callers would get as many as the others.
+    @Test
+    void shouldListInstancesThatAreBehindLast() {
+        PeerState slow = behind(instance("a", NORTH, true, false));
+        PeerState quick = instance("b", NORTH, true, false);
+
+        assertThat(choose(slow, quick)).containsExactly(quick.callerAddress(), slow.callerAddress());
+    }
+
+    private static PeerState behind(PeerState state) {
+        return new PeerState(
+                state.id(),
+                1,
+                1,
+                state.region(),
+                state.zone(),
+                state.callerAddress(),
+                state.peerAddress(),
+                state.ready(),
+                state.draining(),
+                0,
+                true,
+                0,
+                Map.of(),
+                1,
+                false,
+                true);
+    }
+
     @Nested
     class Preference {
         private final PeerState near = instance("near", NORTH, true, false);
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
@@ -72,6 +72,7 @@
                     peers.knownInstances(),
                     recipient.equals(region) ? Map.of() : Map.of("engines", new ServiceLoad(1, 100)),
                     draining ? 2 : 1,
+                    false,
                     false);
         }
 
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerTableTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerTableTest.java
@@ -37,6 +37,7 @@
                 0,
                 load == null ? Map.of() : Map.of("engines", load),
                 version,
+                false,
                 false);
     }
 
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/StoreReaderElectionTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/StoreReaderElectionTest.java
@@ -57,7 +57,8 @@
                     0,
                     Map.of(),
                     1,
-                    access == Access.FOLLOWS);
+                    access == Access.FOLLOWS,
+                    false);
         }
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -85,6 +85,7 @@
             storeWatcher.start();
             core.peerGossip().start(storeWatcher);
             core.requestQueue().start();
+            core.startLagMeasurement();
             new CacheEventPoller(core).start();
             core.scheduleWithFixedDelay(gateway::closeTimedOutConnections, TIMEOUT_CHECK_INTERVAL_MS);
         });
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -29,6 +29,7 @@
 import org.ibissaddle.dispatch.SharedRetryBudget;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.peer.ConfigurationConfirmation;
+import org.ibissaddle.peer.EventLoopLag;
 import org.ibissaddle.peer.PeerTable;
 import org.ibissaddle.peer.RegionSelector;
 import org.ibissaddle.platform.HeaderDecoder;
@@ -56,6 +57,9 @@
     /** Memory for responses that are not relayed yet, bytes; a fraction of the direct memory of an instance. */
     private static final long RESPONSE_MEMORY_BYTES = 32 * 1_048_576;
 
+    /** Interval of the measurement of the event loop's lag, milliseconds. */
+    private static final long LAG_INTERVAL_MS = 100;
+
     private GatewaySettings settings;
     private final EventLoop loop;
     private final Clock clock;
@@ -73,6 +77,7 @@
     private final RequestIntake requestIntake;
     private final RequestQueue requestQueue;
     private final CrashGuard crashGuard;
+    private final EventLoopLag lag = new EventLoopLag();
     private final MemoryBudget responseMemory = new MemoryBudget(RESPONSE_MEMORY_BYTES);
     private final GatewayMetrics metrics;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -182,6 +187,11 @@
         return crashGuard;
     }
 
+    /** How late the event loop runs its tasks. */
+    EventLoopLag lag() {
+        return lag;
+    }
+
     /** Memory for responses that are not relayed yet. */
     MemoryBudget responseMemory() {
         return responseMemory;
@@ -281,6 +291,28 @@
         loop.scheduleWithFixedDelay(() -> runLogged(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Measures the lag of the event loop periodically. */
+    void startLagMeasurement() {
+        measureLag(nowMs() + LAG_INTERVAL_MS);
+    }
+
+    private void measureLag(long dueMs) {
+        schedule(
+                () -> {
+                    boolean before = lag.isBehind();
+                    lag.record(nowMs() - dueMs, shortestObjectiveMs(), nowMs());
+                    if (before != lag.isBehind()) {
+                        log.notice("event-loop", "behind", lag.isBehind(), "lagMs", lag.averageMs());
+                    }
+                    startLagMeasurement();
+                },
+                dueMs - nowMs());
+    }
+
+    private long shortestObjectiveMs() {
+        return catalog.configuration().map(Configuration::shortestObjectiveMs).orElse(Long.MAX_VALUE);
+    }
+
     void execute(Runnable task) {
         loop.execute(() -> runLogged(task));
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -66,13 +66,14 @@
     private Optional<StoreWatcher> store = Optional.empty();
     private long sequence;
     private int version = 1;
-    private Flags lastFlags = new Flags(false, false, false, false);
+    private Flags lastFlags = new Flags(false, false, false, false, false);
     private Map<String, ServiceLoad> loads = Map.of();
     private long loadsUntilMs = Long.MIN_VALUE;
     private List<String> lastAlive = List.of();
 
     /** The part of the state of this instance whose changes have a version number. */
-    private record Flags(boolean ready, boolean draining, boolean platformReachable, boolean followsReader) {}
+    private record Flags(
+            boolean ready, boolean draining, boolean platformReachable, boolean followsReader, boolean behind) {}
 
     PeerGossip(GatewayCore core) {
         this.core = core;
@@ -121,7 +122,8 @@
                 core.isReady(),
                 core.isDraining(),
                 isPlatformReachable(),
-                store.map(StoreWatcher::isFollowing).orElse(false));
+                store.map(StoreWatcher::isFollowing).orElse(false),
+                core.lag().isBehind());
         if (!flags.equals(lastFlags)) {
             lastFlags = flags;
             version++;
@@ -142,7 +144,8 @@
                 core.peers().knownInstances(),
                 services,
                 version,
-                flags.followsReader());
+                flags.followsReader(),
+                flags.behind());
     }
 
     private boolean isPlatformReachable() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
@@ -83,8 +83,12 @@
             @JsonProperty("a") long after,
             @JsonProperty("r") long upTo,
             @JsonProperty("h") long historyFrom,
-            @JsonProperty("g") long graceMs,
-            @JsonProperty("p") boolean pushed) {
+
+            @JsonProperty("g") @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+            long graceMs,
+
+            @JsonProperty("p") @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+            boolean pushed) {
         /** Returns whether an instance that knows all changes up to a revision knows them up to {@code upTo} now. */
         boolean continues(long knownRevision) {
             return upTo <= knownRevision || (after <= knownRevision && historyFrom <= knownRevision);
@@ -174,7 +178,8 @@
             int knownInstances,
             Map<String, ServiceLoad> services,
             int version,
-            boolean followsReader) {
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean followsReader,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean behind) {
         static State of(PeerState state) {
             return new State(
                     state.id().name(),
@@ -191,7 +196,8 @@
                     state.knownInstances(),
                     state.services(),
                     state.version(),
-                    state.followsReader());
+                    state.followsReader(),
+                    state.behind());
         }
 
         PeerState toPeerState() {
@@ -210,7 +216,8 @@
                     knownInstances,
                     services == null ? Map.of() : services,
                     version,
-                    followsReader);
+                    followsReader,
+                    behind);
         }
     }
 
@@ -234,6 +241,7 @@
         private static final int DRAINING = 2;
         private static final int PLATFORM_REACHABLE = 4;
         private static final int FOLLOWS_READER = 8;
+        private static final int BEHIND = 16;
 
         static CompactState of(RelayedState relayed) {
             PeerState state = relayed.state();
@@ -249,7 +257,8 @@
                     (state.ready() ? READY : 0)
                             | (state.draining() ? DRAINING : 0)
                             | (state.platformReachable() ? PLATFORM_REACHABLE : 0)
-                            | (state.followsReader() ? FOLLOWS_READER : 0),
+                            | (state.followsReader() ? FOLLOWS_READER : 0)
+                            | (state.behind() ? BEHIND : 0),
                     state.knownInstances(),
                     relayed.ageMs());
         }
@@ -270,7 +279,8 @@
                     knownInstances,
                     Map.of(),
                     version,
-                    (flags & FOLLOWS_READER) != 0);
+                    (flags & FOLLOWS_READER) != 0,
+                    (flags & BEHIND) != 0);
             return new RelayedState(state, ageMs);
         }
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -16,6 +16,7 @@
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.dispatch.AttemptPolicy;
+import org.ibissaddle.dispatch.RequestWaits;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
 import org.ibissaddle.id.WorkspaceId;
@@ -90,6 +91,7 @@
             return;
         }
         if (core.catalog().configuration().isEmpty()) {
+            log.waitingFor(RequestWaits.Cause.CONFIGURATION);
             core.runWhenConfigured(
                     () -> runIsolated(this::onConfigured), request.arrivedMs() + MAX_CONFIGURATION_WAIT_MS);
             return;
@@ -134,9 +136,20 @@
         if (!request.forwarded()) {
             core.retryBudget(service).recordRequest(core.peers().deploymentSize(core.nowMs()));
         }
+        if (RequestWaits.isTooLate(
+                deadlineMs, core.lag().averageMs(), core.backends().prefillMs(service, ownTokens()), core.nowMs())) {
+            refuseUnavailable("the request has waited " + log.elapsedMs()
+                    + " ms at this instance and can no longer be answered in time");
+            return;
+        }
         place();
     }
 
+    /** Number of prompt tokens that no server can have cached. */
+    private int ownTokens() {
+        return Math.max(0, demand.promptTokens() - demand.sharedTokens());
+    }
+
     /** Tries again to place a queued request; returns whether the request has left the queue. */
     boolean retryPlacement() {
         runIsolated(this::placeQueued);
@@ -315,6 +328,7 @@
             return;
         }
         waiting = true;
+        log.waitingFor(RequestWaits.Cause.QUEUE);
         core.requestQueue().add(this);
     }
 
@@ -360,6 +374,7 @@
         int priority = priorityAtEngine(uncachedTokens);
         HttpRequest head = createHead(access.headersForServer(), priority);
         RequestHeaders.address(head.headers(), server, selection.cacheSource());
+        log.waitingFor(RequestWaits.Cause.SERVER);
         log.sent(selection, uncachedTokens, copiedTokens, priority);
         Optional<BackendServer.RequestHandle> placed =
                 Optional.of(server.requestSent(demand, copiedTokens, core.kvTokens(service), core.nowMs()));
@@ -371,6 +386,7 @@
         HttpRequest head = createHead(access.headersForInstance(), route.priority());
         head.headers().set(InternalHeaders.FORWARDED_BY, core.settings().name().name());
         core.metrics().recordForward(service);
+        log.waitingFor(RequestWaits.Cause.INSTANCE);
         Endpoint endpoint = new Endpoint(peer.id().name(), peer.peerAddress());
         send(endpoint, head, Optional.empty(), Optional.empty(), ConnectionOptions.TO_INSTANCE);
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestLog.java
@@ -1,9 +1,11 @@
 package org.ibissaddle.daemon.gateway;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Locale;
 import org.ibissaddle.backend.BackendServer;
 import org.ibissaddle.backend.ServerSelectionResult;
 import org.ibissaddle.dispatch.AttemptPolicy;
+import org.ibissaddle.dispatch.RequestWaits;
 
 /** Logs the decisions on one request. */
 final class RequestLog {
@@ -13,12 +15,15 @@
     private final String request;
     private final long arrivedMs;
     private final boolean forwarded;
+    private final RequestWaits waits;
 
     RequestLog(GatewayCore core, String request, long arrivedMs, boolean forwarded) {
         this.core = core;
         this.request = request;
         this.arrivedMs = arrivedMs;
         this.forwarded = forwarded;
+        this.waits = new RequestWaits(arrivedMs);
+        waits.start(RequestWaits.Cause.INTAKE, core.nowMs());
     }
 
     /** Time since the arrival of the request, milliseconds. */
@@ -26,8 +31,40 @@
         return core.nowMs() - arrivedMs;
     }
 
+    /** Records that the request waits for something else from now on. */
+    void waitingFor(RequestWaits.Cause cause) {
+        waits.start(cause, core.nowMs());
+    }
+
     void callerGone(boolean answering) {
-        core.log().notice("caller-gone", "request", request, "afterMs", elapsedMs(), "answering", answering);
+        long nowMs = core.nowMs();
+        core.log()
+                .notice(
+                        "caller-gone",
+                        "request",
+                        request,
+                        "afterMs",
+                        elapsedMs(),
+                        "answering",
+                        answering,
+                        "waitingFor",
+                        waits.current().name().toLowerCase(Locale.ROOT),
+                        "bodyMs",
+                        waits.waitedMs(RequestWaits.Cause.BODY, nowMs),
+                        "intakeMs",
+                        waits.waitedMs(RequestWaits.Cause.INTAKE, nowMs),
+                        "configurationMs",
+                        waits.waitedMs(RequestWaits.Cause.CONFIGURATION, nowMs),
+                        "quotaMs",
+                        waits.waitedMs(RequestWaits.Cause.QUOTA, nowMs),
+                        "queueMs",
+                        waits.waitedMs(RequestWaits.Cause.QUEUE, nowMs),
+                        "serverMs",
+                        waits.waitedMs(RequestWaits.Cause.SERVER, nowMs),
+                        "instanceMs",
+                        waits.waitedMs(RequestWaits.Cause.INSTANCE, nowMs),
+                        "lagMs",
+                        core.lag().averageMs());
     }
 
     void sent(ServerSelectionResult.Selected selection, int missingTokens, int copiedTokens, int enginePriority) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PeerTrafficTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PeerTrafficTest.java
@@ -75,6 +75,7 @@
                     peers.knownInstances(),
                     loads,
                     1,
+                    false,
                     false);
         }
 
