--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerTable.java
@@ -388,6 +388,19 @@
         return alive;
     }
 
+    /**
+     * Returns the instances that were heard from recently, including those to which the last connection failed.
+     *
+     * @param nowMs current time, milliseconds
+     * @return their states, in no particular order
+     */
+    public List<PeerState> recentlyHeard(long nowMs) {
+        return known.values().stream()
+                .filter(entry -> nowMs - entry.reportedAtMs <= STALE_STATE_MS)
+                .map(entry -> entry.state)
+                .toList();
+    }
+
     /**
      * Returns the size of the deployment, including instances that are down but have not expired: the highest count of
      * the local instance and those that it knows, since it may have started a short time ago.
