--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -86,6 +86,7 @@
             core.peerGossip().start(storeWatcher);
             core.requestQueue().start();
             core.startLagMeasurement();
+            core.quotaService().start();
             new CacheEventPoller(core).start();
             core.scheduleWithFixedDelay(gateway::closeTimedOutConnections, TIMEOUT_CHECK_INTERVAL_MS);
         });
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -78,6 +78,7 @@
     private final RequestQueue requestQueue;
     private final CrashGuard crashGuard;
     private final EventLoopLag lag = new EventLoopLag();
+    private final QuotaService quotaService;
     private final MemoryBudget responseMemory = new MemoryBudget(RESPONSE_MEMORY_BYTES);
     private final GatewayMetrics metrics;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -111,6 +112,7 @@
         this.requestIntake = new RequestIntake(this);
         this.requestQueue = new RequestQueue(this);
         this.crashGuard = new CrashGuard(this);
+        this.quotaService = new QuotaService(this);
     }
 
     /** A single instance always selects the best server; several must not all select the same one. */
@@ -192,6 +194,10 @@
         return lag;
     }
 
+    QuotaService quotaService() {
+        return quotaService;
+    }
+
     /** Memory for responses that are not relayed yet. */
     MemoryBudget responseMemory() {
         return responseMemory;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -25,6 +25,7 @@
 import org.ibissaddle.platform.HeaderDecoder;
 import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.quarantine.RefusedContent;
+import org.ibissaddle.quota.QuotaDecision;
 import org.ibissaddle.route.RequestKind;
 import org.ibissaddle.route.Route;
 import org.ibissaddle.route.WorkspaceSpec;
@@ -45,6 +46,7 @@
     private final ResponseWriter responseWriter;
     private final String id;
     private final RequestLog log;
+    private final QuotaCharge quota;
     private final Set<ServerId> triedServers = new HashSet<>();
     private final Set<Address> triedPeers = new HashSet<>();
     private RequestAccess access;
@@ -80,6 +82,7 @@
                 Optional.ofNullable(request.header(PlatformHeaders.REQUEST_ID)).orElse("");
         this.retryTime = new RetryTime(core);
         this.log = new RequestLog(core, id, request.arrivedMs(), request.forwarded());
+        this.quota = new QuotaCharge(core, this, request, id);
     }
 
     void start() {
@@ -142,7 +145,7 @@
                     + " ms at this instance and can no longer be answered in time");
             return;
         }
-        place();
+        quota.start(route, demand, deadlineMs);
     }
 
     /** Number of prompt tokens that no server can have cached. */
@@ -262,7 +265,11 @@
         }
     }
 
-    private void place() {
+    void onQuotaDecision(QuotaDecision decision) {
+        runIsolated(() -> quota.onDecision(decision));
+    }
+
+    void place() {
         runIsolated(this::placeOrRefuse);
     }
 
@@ -310,7 +317,7 @@
     }
 
     /** Refuses a request whose content has crashed servers; returns whether it did. */
-    private boolean refuseIfCrashing() {
+    boolean refuseIfCrashing() {
         Optional<RefusedContent> refusedContent = core.crashGuard().check(content);
         retryTime.recordContent(refusedContent);
         if (refusedContent.isEmpty()) {
@@ -539,7 +546,7 @@
     }
 
     /** Sends an error response, or breaks off a response that has started. */
-    private void refuse(HttpResponseStatus status, String reason) {
+    void refuse(HttpResponseStatus status, String reason) {
         if (relay != null && relay.isStarted()) {
             core.metrics().recordAbortedResponse(service);
             log.brokenOff(reason);
@@ -553,6 +560,9 @@
                 access == null ? "" : access.route().name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun, mayHaveReachedServer);
+        quota.retryAtMs()
+                .ifPresent(atMs ->
+                        headers.set(PlatformHeaders.RETRY_AFTER, ErrorResponses.secondsUntil(atMs, core.nowMs())));
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && route != null) {
             retryTime
                     .atMs(service, isLocalAllowed())
@@ -577,6 +587,7 @@
         if (waiting) {
             core.requestQueue().remove(this);
         }
+        quota.cancel();
         if (relay != null) {
             relay.discardBuffered();
         }
