--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ServerSignals.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ServerSignals.java
@@ -63,6 +63,13 @@
                         Math.max(0, server.heldOffUntilMs() - core.nowMs()));
     }
 
+    /** Returns when an instance that refused a request can accept it, empty if its Retry-After is malformed or over. */
+    static OptionalLong retryAtMs(HttpResponse response, long nowMs) {
+        String value = response.headers().get(PlatformHeaders.RETRY_AFTER, "");
+        OptionalLong periodMs = HeaderDecoder.decodeRetryAfter(value, Instant.now());
+        return periodMs.isPresent() ? OptionalLong.of(nowMs + periodMs.getAsLong()) : OptionalLong.empty();
+    }
+
     /** Returns the time of the response by the clock of its server, to which a date in it is relative. */
     private static Instant sentAt(HttpResponse response) {
         String date = response.headers().get(HttpHeaderNames.DATE, "");
