--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/RequestDemand.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/RequestDemand.java
@@ -44,4 +44,13 @@
         }
         return tokens;
     }
+
+    /**
+     * Returns the length of the prompt that no server can have in its cache before the request.
+     *
+     * @return number of tokens
+     */
+    public int ownTokens() {
+        return Math.max(0, promptTokens - sharedTokens());
+    }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/RefusedContent.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/quarantine/RefusedContent.java
@@ -7,4 +7,13 @@
  * @param crashes number of known crashes at which it was in flight
  * @param untilMs time at which the next request with the content may be sent, in milliseconds of the local clock
  */
-public record RefusedContent(String key, int crashes, long untilMs) {}
+public record RefusedContent(String key, int crashes, long untilMs) {
+    /**
+     * Returns why requests are refused.
+     *
+     * @return a sentence for callers and logs
+     */
+    public String reason() {
+        return "content " + key + " was in flight at " + crashes + " crashes of servers";
+    }
+}
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ErrorResponses.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ErrorResponses.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.OptionalLong;
+import org.ibissaddle.platform.PlatformHeaders;
 
 /** Error responses that the gateway itself creates. */
 final class ErrorResponses {
@@ -19,6 +21,13 @@
         return String.valueOf(Math.ceil(Math.max(0, atMs - nowMs) / MS_PER_TENTH) / TENTHS_PER_SECOND);
     }
 
+    /** Sets Retry-After if the time is known; otherwise the value stays as it is. */
+    static void setRetryAfter(HttpHeaders headers, OptionalLong atMs, long nowMs) {
+        if (atMs.isPresent()) {
+            headers.set(PlatformHeaders.RETRY_AFTER, secondsUntil(atMs.getAsLong(), nowMs));
+        }
+    }
+
     /** Sends a complete response with the reason as JSON. */
     static void send(ResponseWriter to, HttpResponseStatus status, String reason, HttpHeaders headers) {
         String text = "{\"error\":\"" + reason.replace("\\", "\\\\").replace("\"", "'") + "\"}";
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -21,11 +21,13 @@
 import org.ibissaddle.backend.BackendRegistry;
 import org.ibissaddle.backend.BackendServer;
 import org.ibissaddle.backend.ColdRateShare;
+import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.catalog.Catalog;
 import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.daemon.log.DecisionLog;
+import org.ibissaddle.dispatch.RequestWaits;
 import org.ibissaddle.dispatch.SharedRetryBudget;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.peer.ConfigurationConfirmation;
@@ -189,6 +191,12 @@
         return crashGuard;
     }
 
+    /** Whether a request can no longer be answered before its deadline, since this instance is late itself. */
+    boolean isTooLate(String service, RequestDemand demand, long deadlineMs) {
+        return RequestWaits.isTooLate(
+                deadlineMs, lag.averageMs(), backends.prefillMs(service, demand.ownTokens()), nowMs());
+    }
+
     /** How late the event loop runs its tasks. */
     EventLoopLag lag() {
         return lag;
