One type for the estimated cost of a request

The choice of a server, the time saved by another region's cache and the queue computed what a request costs each in its own way. The choice of a server and the prediction that RegionSelector uses for shared prompt parts take it; the results are the same, as the existing tests show.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/BackendRegistry.java
@@ -401,6 +401,21 @@
         return selector.slowdown(server, speed(server.entry().service()), nowMs);
     }
 
+    /**
+     * Estimates the cost of a request at the server of the local region that has cached most of its prompt.
+     *
+     * @param service the service
+     * @param demand the request
+     * @return the cost
+     */
+    public RequestCost requestCost(String service, RequestDemand demand) {
+        int cachedTokens = 0;
+        for (BackendServer server : byService.getOrDefault(service, List.of())) {
+            cachedTokens = Math.max(cachedTokens, isEligible(server) ? server.cachedTokens(demand) : 0);
+        }
+        return RequestCost.of(demand, cachedTokens);
+    }
+
     /**
      * Predicts the prefill time of uncached tokens.
      *
@@ -413,7 +428,7 @@
         return speed == null ? 0 : Math.round(speed.prefillMs(tokens));
     }
 
-    private EngineSpeedEstimate speed(String service) {
+    EngineSpeedEstimate speed(String service) {
         return speedsByService.computeIfAbsent(service, name -> new EngineSpeedEstimate());
     }
 
@@ -470,10 +485,7 @@
      * @return time in milliseconds, 0 if one server has cached all shared parts
      */
     public long uncachedSharedPrefillMs(String service, RequestDemand demand) {
-        int cachedTokens = 0;
-        for (BackendServer server : byService.getOrDefault(service, List.of())) {
-            cachedTokens = Math.max(cachedTokens, isEligible(server) ? server.cachedTokens(demand) : 0);
-        }
+        int cachedTokens = demand.promptTokens() - requestCost(service, demand).prefillTokens();
         return Math.round(speed(service).prefillMs((double) Math.max(0, demand.sharedTokens() - cachedTokens)));
     }
 
--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSelector.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/ServerSelector.java
@@ -276,10 +276,11 @@
         int copiedTokens = request.cacheSource().isPresent()
                 ? server.tokensToCopy(demand, request.cacheSource().get())
                 : 0;
-        int uncachedTokens = Math.max(0, demand.promptTokens() - cachedTokens);
+        RequestCost requestCost = RequestCost.of(demand, cachedTokens);
         int uncachedSharedTokens = Math.max(0, demand.sharedTokens() - cachedTokens - copiedTokens);
-        double tokensToPrefill =
-                uncachedTokens - copiedTokens - (isPreferred ? uncachedSharedTokens * PREFERRED_SERVER_DISCOUNT : 0);
+        double tokensToPrefill = requestCost.prefillTokens()
+                - copiedTokens
+                - (isPreferred ? uncachedSharedTokens * PREFERRED_SERVER_DISCOUNT : 0);
         double othersTokens = server.othersPrefillTokens(othersLoad, speed, engine.tokensPerEvent(), nowMs);
         double aheadMs = slowdown * speed.prefillMs(server.backlogTokens() + othersTokens);
         double prefillMs = slowdown * speed.prefillMs(tokensToPrefill);
