Order the queue for servers fairly over workspaces and keep late requests

New requests took free servers past waiting ones.

QueueOrder serves requests that can still be in time first, then by priority, then by start-time fair queuing over workspaces and their routes at the cost of the server time that they use; an eighth of the capacity goes to the one that has waited longest. QueueTerms derives from the cost how long a request may wait: until its response could no longer be complete, half of its timeout at the latest. It is refused at once if the queue is served too slowly for that, and when its objective is missed while nothing is served. Metrics show who waits and where requests are sent.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Attempt.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Whether the request was sent to a backend server and not to another instance. */
+    boolean isToServer() {
+        return server.isPresent();
+    }
+
     String target() {
         return endpoint.name();
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.ibissaddle.id.WorkspaceId;
 
@@ -22,6 +23,7 @@
 
     private final Set<String> workspaces = new HashSet<>();
     private final MetricRegistry registry = new MetricRegistry();
+    private final Map<String, Integer> waitingByService = new ConcurrentHashMap<>();
 
     void recordResponse(String service, int status, long tookMs) {
         registry.counter("answers_total{status=\"" + status + "\"}").inc();
@@ -38,6 +40,32 @@
         registry.counter("broken_off_total{service=\"" + service + "\"}").inc();
     }
 
+    /** Counts a request that waits for a server, or is held because its prompt would delay short ones. */
+    void recordQueued(String service, boolean held) {
+        registry.counter("queued_total{service=\"" + service + "\",held=\"" + held + "\"}")
+                .inc();
+    }
+
+    /** Records the time from the arrival of a request until it left the queue for servers, sent or refused. */
+    void recordQueueWait(String service, boolean sent, long waitedMs) {
+        registry.histogram(
+                        "queue_wait_ms{service=\"" + service + "\",sent=\"" + sent + "\"}",
+                        GatewayMetrics::newSlidingWindowHistogram)
+                .update(waitedMs);
+    }
+
+    /** Counts a request that was sent to a backend server. */
+    void recordSent(String service, String server) {
+        registry.counter("sent_total{service=\"" + service + "\",server=\"" + server + "\"}")
+                .inc();
+    }
+
+    /** Sets the number of requests that wait for a server now, and of those that can no longer be in time. */
+    void setWaiting(String service, int waiting, int late) {
+        waitingByService.put("waiting{service=\"" + service + "\",late=\"false\"}", waiting - late);
+        waitingByService.put("waiting{service=\"" + service + "\",late=\"true\"}", late);
+    }
+
     void recordRetry(String service) {
         registry.counter("retries_total{service=\"" + service + "\"}").inc();
     }
@@ -73,6 +101,7 @@
         for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
             appendLine(text, counter.getKey(), counter.getValue().getCount());
         }
+        waitingByService.forEach((name, waiting) -> appendLine(text, name, waiting));
         for (Map.Entry<String, Histogram> histogram : registry.getHistograms().entrySet()) {
             Snapshot snapshot = histogram.getValue().getSnapshot();
             for (double quantile : QUANTILES) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/IncomingRequest.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/IncomingRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.ibissaddle.platform.PlatformHeaders;
 
 /**
  * A request whose body has been received in full.
@@ -31,4 +32,10 @@
     String header(String name) {
         return headers.get(name);
     }
+
+    /** Returns the id of the last event that the caller has received, empty for none. */
+    String lastEventId() {
+        String value = header(PlatformHeaders.LAST_EVENT_ID);
+        return value == null ? "" : value;
+    }
 }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.ibissaddle.backend.BackendServer;
+import org.ibissaddle.backend.QueueOrder;
+import org.ibissaddle.backend.QueueTerms;
 import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.backend.RequestTerms;
 import org.ibissaddle.backend.ServerSelectionResult;
@@ -32,10 +34,6 @@
 final class RequestExchange {
     /** Time after the deadline in which the server may still report the timeout itself, milliseconds. */
     static final long DEADLINE_GRACE_MS = 100;
-    /**
-     * Fraction of the latency objective that a request may wait for a free server; after it the response would be late.
-     */
-    private static final double MAX_WAIT_FRACTION = 0.6;
     /** Maximum time that a request waits for the first configuration after the process starts, milliseconds. */
     private static final long MAX_CONFIGURATION_WAIT_MS = 500;
 
@@ -50,13 +48,11 @@
     /** The matched route with the priority and the homes of the workspace. */
     private Route route;
 
-    private int queuePriority;
     private String service = "";
     private RequestDemand demand = RequestDemand.PLAIN;
     private RequestContent content;
     private boolean suspect;
     private long deadlineMs;
-    private long waitUntilMs;
     private Future<?> deadlineTimer;
     private Attempt attempt;
     private ResponseRelay relay;
@@ -66,6 +62,8 @@
     /** Whether the request waits only because its long prompt would delay short ones. */
     private boolean held;
 
+    private QueueOrder.Waiter waiter;
+
     private final RetryTime retryTime;
     private boolean finished;
     private int possibleRuns;
@@ -114,7 +112,6 @@
         if (refuseIfAccessDenied()) {
             return;
         }
-        queuePriority = route.priority();
         service = route.serviceFor(id);
         demand = HeaderDecoder.decodeDemand(
                 request.header(PlatformHeaders.MODEL),
@@ -123,12 +120,9 @@
         content = new RequestContent(request, demand, access::granted);
         suspect = core.crashGuard().isSuspect(content);
         deadlineMs = request.arrivedMs() + GatewayCore.effectiveTimeoutMs(route, request.headers());
-        waitUntilMs = request.arrivedMs()
-                + Math.min(
-                        (long) (route.targetLatencyMs() * MAX_WAIT_FRACTION), (deadlineMs - request.arrivedMs()) / 2);
         boolean streaming =
                 route.kind() == RequestKind.STREAMING && !request.method().equals(HttpMethod.HEAD);
-        relay = new ResponseRelay(core, responseWriter, streaming, route.isRetryable(), lastEventId());
+        relay = new ResponseRelay(core, responseWriter, streaming, route.isRetryable(), request.lastEventId());
         deadlineTimer = core.schedule(this::onDeadline, deadlineMs + DEADLINE_GRACE_MS - core.nowMs());
         core.countRequest(route);
         if (!request.forwarded()) {
@@ -168,12 +162,14 @@
             return;
         }
         held = selection instanceof ServerSelectionResult.Held;
-        if (!held && core.nowMs() >= waitUntilMs) {
+        Optional<String> giveUpReason =
+                held ? Optional.empty() : core.requestQueue().giveUpReason(this);
+        if (giveUpReason.isPresent()) {
             waiting = false;
-            refuseUnavailable("waited too long for a free server");
+            refuseUnavailable(giveUpReason.get());
             return;
         }
-        if (selection instanceof ServerSelectionResult.HeldOff pause && pause.untilMs() > waitUntilMs) {
+        if (selection instanceof ServerSelectionResult.HeldOff pause && pause.untilMs() > waiter().inTimeUntilMs()) {
             waiting = false;
             refuseUnavailable(pause.reason());
         }
@@ -199,18 +195,14 @@
         return true;
     }
 
-    /** Priority in the queue. It stays the same while the request waits, since the queue is ordered by it. */
-    int priority() {
-        return queuePriority;
-    }
-
     /** Returns the workspace of the request, empty if its route is public or the configuration has no workspaces. */
     Optional<WorkspaceSpec> workspace() {
         return access == null ? Optional.empty() : access.workspace();
     }
 
-    long arrivedMs() {
-        return request.arrivedMs();
+    /** Whether an attempt to send the request to a server of the local region is running. */
+    boolean isSentToServer() {
+        return attempt != null && attempt.isToServer();
     }
 
     /** Whether the request waits only because its long prompt would delay short ones. */
@@ -268,7 +260,7 @@
         }
         held = localSelection instanceof ServerSelectionResult.Held;
         switch (localSelection) {
-            case ServerSelectionResult.Selected found -> sendToServer(found);
+            case ServerSelectionResult.Selected found -> sendInTurn(found);
             case ServerSelectionResult.AtCapacity busy -> enqueue(busy.reason());
             case ServerSelectionResult.Held delayed -> enqueue(delayed.reason());
             case ServerSelectionResult.HeldOff held -> enqueueOrRefuse(held);
@@ -310,17 +302,44 @@
     }
 
     private void enqueue(String reason) {
-        if ((!held && core.nowMs() >= waitUntilMs) || !core.requestQueue().hasRoom(service)) {
+        if (!held && core.nowMs() >= waiter().giveUpAtMs()) {
             refuseUnavailable(reason);
             return;
         }
+        Optional<String> refusal = core.requestQueue().refusal(this);
+        if (refusal.isPresent()) {
+            refuseUnavailable(refusal.get());
+            return;
+        }
         waiting = true;
         core.requestQueue().add(this);
     }
 
+    /** Sends the request, unless others have waited for the free server longer. */
+    private void sendInTurn(ServerSelectionResult.Selected found) {
+        if (core.requestQueue().comesBefore(this)
+                && core.requestQueue().refusal(this).isEmpty()) {
+            waiting = true;
+            core.requestQueue().add(this);
+            core.onCapacityChanged(service);
+            return;
+        }
+        sendToServer(found);
+    }
+
+    /** Returns what the order of the queue depends on; it stays the same while the request waits. */
+    QueueOrder.Waiter waiter() {
+        if (waiter == null) {
+            String workspace = workspace().map(spec -> spec.id().name()).orElse("");
+            waiter = core.requestQueue()
+                    .termsOf(new QueueTerms.Request(service, demand, terms(), workspace, route.name(), deadlineMs));
+        }
+        return waiter;
+    }
+
     /** Waits for the end of the first pause, or refuses the request at once if the pause outlasts the maximum wait. */
     private void enqueueOrRefuse(ServerSelectionResult.HeldOff held) {
-        if (held.untilMs() > waitUntilMs) {
+        if (held.untilMs() > waiter().inTimeUntilMs()) {
             refuseUnavailable(held.reason());
             return;
         }
@@ -357,9 +376,10 @@
                 .cacheSource()
                 .map(source -> server.tokensToCopy(demand, source))
                 .orElse(0);
-        int priority = priorityAtEngine(uncachedTokens);
+        int priority = core.backends().enginePriority(terms(), uncachedTokens, core.nowMs());
         HttpRequest head = createHead(access.headersForServer(), priority);
         RequestHeaders.address(head.headers(), server, selection.cacheSource());
+        core.metrics().recordSent(service, server.entry().id().name());
         log.sent(selection, uncachedTokens, copiedTokens, priority);
         Optional<BackendServer.RequestHandle> placed =
                 Optional.of(server.requestSent(demand, copiedTokens, core.kvTokens(service), core.nowMs()));
@@ -391,16 +411,6 @@
         return RequestHeaders.head(request, headers, demand, priority, deadlineMs - core.nowMs(), relay.lastEventId());
     }
 
-    /** Returns the priority at an engine that has to prefill a part of the prompt. */
-    private int priorityAtEngine(int uncachedTokens) {
-        return core.backends().enginePriority(terms(), uncachedTokens, core.nowMs());
-    }
-
-    private String lastEventId() {
-        return Optional.ofNullable(request.header(PlatformHeaders.LAST_EVENT_ID))
-                .orElse("");
-    }
-
     ResponseRelay relay() {
         return relay;
     }
