Quotas over all instances: lease messages, the request path, settings, log lines and metrics

Cause: the decisions of the package quota were not carried out.

Change: QuotaService sends and answers lease requests on the peer port, QuotaCharge charges a request once, before it is placed, at the instance that its caller reached. Over the quota it gets 429 with Retry-After. Settings quota-window-s, quota-excess and quota-slack; log lines over-quota, quota-share, quota-lease-failed; metrics for each workspace.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -85,6 +85,7 @@
             storeWatcher.start();
             core.peerGossip().start(storeWatcher::isReachable);
             core.requestQueue().start();
+            core.quotaService().start();
             new CacheEventPoller(core).start();
             core.scheduleWithFixedDelay(gateway::closeTimedOutConnections, TIMEOUT_CHECK_INTERVAL_MS);
         });
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -73,6 +73,7 @@
     private final RequestIntake requestIntake;
     private final RequestQueue requestQueue;
     private final CrashGuard crashGuard;
+    private final QuotaService quotaService;
     private final MemoryBudget responseMemory = new MemoryBudget(RESPONSE_MEMORY_BYTES);
     private final GatewayMetrics metrics;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -106,6 +107,7 @@
         this.requestIntake = new RequestIntake(this);
         this.requestQueue = new RequestQueue(this);
         this.crashGuard = new CrashGuard(this);
+        this.quotaService = new QuotaService(this);
     }
 
     /** A single instance always selects the best server; several must not all select the same one. */
@@ -182,6 +184,10 @@
         return crashGuard;
     }
 
+    QuotaService quotaService() {
+        return quotaService;
+    }
+
     /** Memory for responses that are not relayed yet. */
     MemoryBudget responseMemory() {
         return responseMemory;
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
@@ -67,6 +67,15 @@
         return workspaces.contains(workspace.name()) ? workspace.name() : OTHER_WORKSPACES;
     }
 
+    void recordQuota(String event, WorkspaceId workspace, long amount) {
+        registry.counter("quota_" + event + "_total{workspace=\"" + label(workspace) + "\"}")
+                .inc(amount);
+    }
+
+    void recordQuotaMessage(String result) {
+        registry.counter("quota_messages_total{result=\"" + result + "\"}").inc();
+    }
+
     /** Returns all metrics in the text exposition format. */
     String text() {
         StringBuilder text = new StringBuilder();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettings.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.quota.QuotaBounds;
 
 /**
  * Settings of a gateway instance.
@@ -73,6 +74,7 @@
      * @param stopGraceMs time from the stop signal until the process is killed, milliseconds
      * @param directoryTtlS maximum time to live of a directory response, seconds
      * @param revocation how API keys are revoked
+     * @param quotaBounds how far the servers may receive more than a quota; taken at the start of the process
      */
     public record PlatformLimits(
             double retryRatio,
@@ -80,7 +82,19 @@
             double retrySlack,
             long stopGraceMs,
             int directoryTtlS,
-            Revocation revocation) {}
+            Revocation revocation,
+            QuotaBounds quotaBounds) {
+        /** Creates limits with the default bounds of quotas. */
+        public PlatformLimits(
+                double retryRatio,
+                long retryWindowMs,
+                double retrySlack,
+                long stopGraceMs,
+                int directoryTtlS,
+                Revocation revocation) {
+            this(retryRatio, retryWindowMs, retrySlack, stopGraceMs, directoryTtlS, revocation, QuotaBounds.DEFAULT);
+        }
+    }
 
     /**
      * How API keys are revoked.
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettingsReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewaySettingsReader.java
@@ -21,11 +21,15 @@
 import org.ibissaddle.id.InvalidIdentifierException;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.id.Zone;
+import org.ibissaddle.quota.QuotaBounds;
 
 /** Reads the settings of a gateway instance from INI and reports all faults at once. Unknown keys are ignored. */
 public final class GatewaySettingsReader {
     private static final int MS_PER_SECOND = 1_000;
     private static final double MAX_REVOKE_MS = 3_600_000;
+    private static final int MAX_QUOTA_WINDOW_S = 3_600;
+    private static final double MAX_QUOTA_EXCESS = 100;
+    private static final double MAX_QUOTA_SLACK = 1e15;
     private static final int MAX_PORT = 65_535;
     private static final String ADDRESS_FORMAT = "IP:PORT";
     private static final String NAME_FORMAT = "letters, digits, dots, underscores, colons and hyphens";
@@ -127,7 +131,22 @@
                 number("bounds", "retry-slack", 0, Integer.MAX_VALUE),
                 (long) (number("bounds", "stop-grace-s", 0, 3_600) * MS_PER_SECOND),
                 (int) number("bounds", "directory-ttl-s", 1, 3_600),
-                revocation());
+                revocation(),
+                quotaBounds());
+    }
+
+    private QuotaBounds quotaBounds() {
+        QuotaBounds defaults = QuotaBounds.DEFAULT;
+        return new QuotaBounds(
+                (long) (optional("quota-window-s", 1, MAX_QUOTA_WINDOW_S, (double) defaults.windowMs() / MS_PER_SECOND)
+                        * MS_PER_SECOND),
+                optional("quota-excess", 0, MAX_QUOTA_EXCESS, defaults.excess()),
+                optional("quota-slack", 0, MAX_QUOTA_SLACK, defaults.slack()));
+    }
+
+    /** Reads a number of the section bounds; the platform renders a value that it lacks as empty text. */
+    private double optional(String key, double min, double max, double whenEmpty) {
+        return text("bounds", key).isEmpty() ? whenEmpty : number("bounds", key, min, max);
     }
 
     private GatewaySettings.Revocation revocation() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -232,7 +232,7 @@
                     true);
             return;
         }
-        if (fromPeer && core.peerGossip().isPeerMessage(head)) {
+        if (isInstanceMessage(head)) {
             return;
         }
         // A caller that waits for 100 Continue may leave out the body after a refusal, and the next request would then
@@ -272,11 +272,15 @@
     private void dispatch() {
         ByteBuf requestBody = body == null ? Unpooled.EMPTY_BUFFER : body.take();
         body = null;
-        if (fromPeer && core.peerGossip().isPeerMessage(request)) {
+        if (isInstanceMessage(request)) {
             byte[] bytes = new byte[requestBody.readableBytes()];
             requestBody.readBytes(bytes);
             requestBody.release();
-            core.peerGossip().handle(request, bytes, this);
+            if (core.quotaService().isQuotaMessage(request)) {
+                core.quotaService().handle(bytes, this);
+            } else {
+                core.peerGossip().handle(request, bytes, this);
+            }
             return;
         }
         boolean bodyDeclared = HttpUtil.isContentLengthSet(request) || HttpUtil.isTransferEncodingChunked(request);
@@ -344,6 +348,12 @@
         }
     }
 
+    /** Whether a request is a message of another instance itself, and not a forwarded request. */
+    private boolean isInstanceMessage(HttpRequest head) {
+        return fromPeer
+                && (core.peerGossip().isPeerMessage(head) || core.quotaService().isQuotaMessage(head));
+    }
+
     private boolean isBusy() {
         return responding || (request != null && bodyComplete);
     }
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -188,8 +188,10 @@
                             core,
                             RESPONSE_TIMEOUT_MS,
                             MAX_RESPONSE_BYTES,
-                            (status, answer) ->
-                                    onResponse(status, answer, message.wantsChanges(), core.nowMs() - sentMs),
+                            (status, answer) -> {
+                                core.quotaService().recordContact(target, true);
+                                onResponse(status, answer, message.wantsChanges(), core.nowMs() - sentMs);
+                            },
                             failure -> onFailure(target, failure))
                     .send(new Endpoint("peer", target), request, Unpooled.wrappedBuffer(body), OPTIONS);
         } catch (IOException e) {
@@ -200,6 +202,7 @@
     /** An instance whose response can't be used is reachable, and a failure of this process says nothing about it. */
     private void onFailure(Address target, ResponseCollector.Failure failure) {
         if (failure instanceof ResponseCollector.Failure.NoResponse) {
+            core.quotaService().recordContact(target, false);
             core.peers().markUnreachable(target, core.nowMs());
         } else {
             core.log().notice("peer-message-failed", "peer", target, "reason", failure.reason());
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -24,6 +24,7 @@
 import org.ibissaddle.platform.HeaderDecoder;
 import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.quarantine.RefusedContent;
+import org.ibissaddle.quota.QuotaDecision;
 import org.ibissaddle.route.RequestKind;
 import org.ibissaddle.route.Route;
 import org.ibissaddle.route.WorkspaceSpec;
@@ -44,6 +45,7 @@
     private final ResponseWriter responseWriter;
     private final String id;
     private final RequestLog log;
+    private final QuotaCharge quota;
     private final Set<ServerId> triedServers = new HashSet<>();
     private final Set<Address> triedPeers = new HashSet<>();
     private RequestAccess access;
@@ -79,6 +81,7 @@
                 Optional.ofNullable(request.header(PlatformHeaders.REQUEST_ID)).orElse("");
         this.retryTime = new RetryTime(core);
         this.log = new RequestLog(core, id, request.arrivedMs(), request.forwarded());
+        this.quota = new QuotaCharge(core, this, request, id);
     }
 
     void start() {
@@ -134,7 +137,7 @@
         if (!request.forwarded()) {
             core.retryBudget(service).recordRequest(core.peers().deploymentSize(core.nowMs()));
         }
-        place();
+        quota.start(route, demand, deadlineMs);
     }
 
     /** Tries again to place a queued request; returns whether the request has left the queue. */
@@ -249,7 +252,11 @@
         }
     }
 
-    private void place() {
+    void onQuotaDecision(QuotaDecision decision) {
+        runIsolated(() -> quota.onDecision(decision));
+    }
+
+    void place() {
         runIsolated(this::placeOrRefuse);
     }
 
@@ -297,7 +304,7 @@
     }
 
     /** Refuses a request whose content has crashed servers; returns whether it did. */
-    private boolean refuseIfCrashing() {
+    boolean refuseIfCrashing() {
         Optional<RefusedContent> refusedContent = core.crashGuard().check(content);
         retryTime.recordContent(refusedContent);
         if (refusedContent.isEmpty()) {
@@ -523,7 +530,7 @@
     }
 
     /** Sends an error response, or breaks off a response that has started. */
-    private void refuse(HttpResponseStatus status, String reason) {
+    void refuse(HttpResponseStatus status, String reason) {
         if (relay != null && relay.isStarted()) {
             core.metrics().recordAbortedResponse(service);
             log.brokenOff(reason);
@@ -537,6 +544,9 @@
                 access == null ? "" : access.route().name(), status, reason, mayHaveRun, mayHaveReachedServer, sends);
         finish("refused");
         HttpHeaders headers = core.errorHeaders(status, request.forwarded(), !mayHaveRun, mayHaveReachedServer);
+        quota.retryAtMs()
+                .ifPresent(atMs ->
+                        headers.set(PlatformHeaders.RETRY_AFTER, ErrorResponses.secondsUntil(atMs, core.nowMs())));
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && route != null) {
             retryTime
                     .atMs(service, isLocalAllowed())
@@ -561,6 +571,7 @@
         if (waiting) {
             core.requestQueue().remove(this);
         }
+        quota.cancel();
         if (relay != null) {
             relay.discardBuffered();
         }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewaySettingsReaderTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/GatewaySettingsReaderTest.java
@@ -4,11 +4,16 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import org.ibissaddle.daemon.settings.SettingsException;
+import org.ibissaddle.quota.QuotaBounds;
 import org.junit.jupiter.api.Test;
 
 /** Tests the settings that a platform may leave out. */
 class GatewaySettingsReaderTest {
     private static GatewaySettings.Revocation read(String optional) throws SettingsException {
+        return readLimits(optional).revocation();
+    }
+
+    private static GatewaySettings.PlatformLimits readLimits(String optional) throws SettingsException {
         return GatewaySettingsReader.read("test", """
                 [instance]
                 name = north-1
@@ -31,9 +36,7 @@
                 retry-slack = 20
                 stop-grace-s = 8
                 directory-ttl-s = 5
-                """ + optional)
-                .platformLimits()
-                .revocation();
+                """ + optional).platformLimits();
     }
 
     @Test
@@ -53,4 +56,15 @@
     void shouldRefuseAFlagThatIsNone() {
         assertThatThrownBy(() -> read("strict-revoke = maybe\n")).hasMessageContaining("strict-revoke");
     }
+
+    @Test
+    void shouldReadTheBoundsOfQuotas() throws SettingsException {
+        assertThat(readLimits("quota-window-s = 4\nquota-excess = 0.5\nquota-slack = 190000\n")
+                        .quotaBounds())
+                .isEqualTo(new QuotaBounds(4_000, 0.5, 190_000));
+        assertThat(readLimits("quota-window-s =\nquota-excess =\nquota-slack =\n")
+                        .quotaBounds())
+                .isEqualTo(QuotaBounds.DEFAULT);
+        assertThatThrownBy(() -> readLimits("quota-excess = much\n")).hasMessageContaining("quota-excess");
+    }
 }
