Let a follower ask its readers only, and an instance without the store for new changes

Cause: a follower asked each recipient of a round for changes, and could receive a large configuration several times. An instance whose calls to the store fail asked after the last revision without gaps, and received the same changes in each round.

Change: followers ask for changes at the readers of their zone. Instances whose calls fail ask after the highest revision that they know, as before readers were elected; the store fills the gaps when it responds again.

Evidence: StoreFollowersTest, StoreWatcherTest, WorkspaceRevocationTest and TwoRegionsTest pass; the repetition itself has no test.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -207,7 +207,8 @@
                 changes,
                 Optional.of(core.settings().region()),
                 new PeerUpdate(List.of(), List.of(), List.of()),
-                createFeed(afterRevision, knownRevision(), true));
+                createFeed(afterRevision, completeRevision(), true),
+                false);
         for (PeerState state : core.peers().alive(core.nowMs())) {
             if (state.zone().equals(core.settings().zone()) && state.followsReader()) {
                 send(state.peerAddress(), message);
@@ -215,8 +216,8 @@
         }
     }
 
-    private long knownRevision() {
-        return store.map(StoreWatcher::knownRevision).orElse(0L);
+    private long completeRevision() {
+        return store.map(StoreWatcher::completeRevision).orElse(0L);
     }
 
     private PeerMessage.Feed createFeed(long afterRevision, long upToRevision, boolean pushed) {
@@ -231,8 +232,11 @@
     private void send(Address target) {
         Optional<Region> region = core.peers().regionOf(target);
         PeerUpdate update = core.peers().request(region, random, core.nowMs());
-        long known = knownRevision();
-        send(target, createMessage(List.of(), List.of(), region, update, createFeed(known, known, false)));
+        long known = completeRevision();
+        boolean wantsChanges =
+                store.map(watcher -> watcher.asksForChanges(target)).orElse(false);
+        PeerMessage.Feed feed = createFeed(known, known, false);
+        send(target, createMessage(List.of(), List.of(), region, update, feed, wantsChanges));
     }
 
     private void send(Address target, PeerMessage message) {
@@ -307,7 +311,7 @@
                         .toList()
                 : List.of();
         boolean isCut = changes.size() == MAX_CHANGES;
-        long known = knownRevision();
+        long known = completeRevision();
         PeerMessage.Feed feed = request.wantsChanges()
                 ? createFeed(request.knownRevision(), isCut ? changes.getLast().revision() - 1 : known, false)
                 : createFeed(known, known, false);
@@ -321,7 +325,7 @@
         PeerUpdate update = asksNothing
                 ? new PeerUpdate(List.of(), List.of(), List.of())
                 : core.peers().response(sender.id(), sender.region(), received.heartbeats(), random, core.nowMs());
-        return createMessage(others, changes, region, update, feed);
+        return createMessage(others, changes, region, update, feed, false);
     }
 
     private PeerMessage createMessage(
@@ -329,14 +333,16 @@
             List<CatalogItem> changes,
             Optional<Region> remoteRegion,
             PeerUpdate update,
-            PeerMessage.Feed feed) {
+            PeerMessage.Feed feed,
+            boolean wantsChanges) {
         CrashUpdate promptParts = core.crashGuard().promptPartsFor(remoteRegion);
         CrashUpdate requests = core.crashGuard().requestsFor(remoteRegion);
         return new PeerMessage(
                 PeerMessage.State.of(localState(loadsFor(remoteRegion))),
                 others.stream().map(PeerMessage.AgedState::of).toList(),
-                knownRevision(),
-                !isPlatformReachable(),
+                store.map(StoreWatcher::knownRevision)
+                        .orElseGet(() -> core.catalog().revision()),
+                wantsChanges,
                 changes,
                 promptParts.marks().stream().map(PeerMessage.Mark::of).toList(),
                 promptParts.proofs().stream().map(PeerMessage.Proof::of).toList(),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -12,6 +12,7 @@
 import org.ibissaddle.catalog.CatalogItem;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
+import org.ibissaddle.id.Address;
 import org.ibissaddle.peer.PeerState;
 import org.ibissaddle.peer.StoreReaderElection;
 import org.ibissaddle.platform.MalformedMessageException;
@@ -81,10 +82,25 @@
     }
 
     /** Revision up to which all changes are known, 0 before the store was listed. */
-    long knownRevision() {
+    long completeRevision() {
         return watchFrom;
     }
 
+    /**
+     * Revision after which another instance is asked for changes. An instance whose calls fail takes what others have,
+     * with gaps, and fills them when the store responds again; it must not ask for the same changes in each round.
+     */
+    long knownRevision() {
+        return following ? watchFrom : core.catalog().revision();
+    }
+
+    /** Whether to ask an instance for changes: a follower asks its readers only, so that it gets a change once. */
+    boolean asksForChanges(Address instance) {
+        return following
+                ? readers().stream().anyMatch(state -> state.peerAddress().equals(instance))
+                : !isReachable();
+    }
+
     /** Returns the readers of the zone to ask for changes, none if this instance reads the store itself. */
     List<PeerState> readers() {
         return isReachable() ? List.of() : election.readers(running());
