--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/QuotaCharge.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/QuotaCharge.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.ibissaddle.backend.RequestDemand;
+import org.ibissaddle.dispatch.RequestWaits;
 import org.ibissaddle.quota.QuotaDecision;
 import org.ibissaddle.route.Route;
 import org.ibissaddle.route.WorkspaceSpec;
@@ -24,15 +25,17 @@
     private final RequestExchange exchange;
     private final IncomingRequest request;
     private final String requestId;
+    private final RequestLog log;
     private Optional<WorkspaceSpec> pending = Optional.empty();
     private long cost;
     private OptionalLong retryAtMs = OptionalLong.empty();
 
-    QuotaCharge(GatewayCore core, RequestExchange exchange, IncomingRequest request, String requestId) {
+    QuotaCharge(GatewayCore core, RequestExchange exchange, IncomingRequest request, String requestId, RequestLog log) {
         this.core = core;
         this.exchange = exchange;
         this.request = request;
         this.requestId = requestId;
+        this.log = log;
     }
 
     /** Places the request when its quota admits it. The instance that forwarded a request has charged it. */
@@ -47,6 +50,7 @@
         if (!exchange.isStillWanted() || exchange.refuseIfCrashing()) {
             return;
         }
+        log.waitingFor(RequestWaits.Cause.QUOTA);
         pending = limited;
         cost = limited.get().quota().cost(demand);
         long waitMs = Math.max(MIN_WAIT_MS, (long) (route.targetLatencyMs() * MAX_WAIT_FRACTION));
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -79,7 +79,7 @@
                 Optional.ofNullable(request.header(PlatformHeaders.REQUEST_ID)).orElse("");
         this.retryTime = new RetryTime(core);
         this.log = new RequestLog(core, id, request.arrivedMs(), request.forwarded());
-        this.quota = new QuotaCharge(core, this, request, id);
+        this.quota = new QuotaCharge(core, this, request, id, log);
     }
 
     void start() {
