Check a configuration before it is published

Cause: the gateway accepts a configuration with unreachable routes, keys of two workspaces or limits that contradict each other, and replaces some fields of a wrong type by defaults. An operator noticed this only from rejected requests.

Change: `ibissaddle config-check FILE` names every fault with its place, as text or JSON, with exit codes for scripts.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/Commands.java
@@ -25,6 +25,7 @@
         all.add(new GatewayCommand());
         all.add(new TrainCommand());
         all.add(new ConfigCheckCommand());
+        all.add(new ConfigurationCheckCommand());
         all.add(new NoteCheckCommand());
         all.add(new NoteShowCommand());
         all.add(new NoteDiffCommand());
