List the changes of a configuration and the requests they touch

Cause: before publishing a configuration an operator could not see which requests it moves, which keys it revokes and which quotas it lowers.

Change: ConfigurationDiff compares two configurations entry by entry. Keys are named by their position.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ConfigurationCheckCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/ConfigurationCheckCommand.java
@@ -22,8 +22,10 @@
 import org.apache.commons.cli.Options;
 import org.ibissaddle.id.Region;
 import org.ibissaddle.platform.ConfigurationFile;
+import org.ibissaddle.route.ConfigurationChange;
 import org.ibissaddle.route.ConfigurationCheck;
 import org.ibissaddle.route.ConfigurationCheck.Surroundings;
+import org.ibissaddle.route.ConfigurationDiff;
 import org.ibissaddle.route.ConfigurationFinding;
 import org.ibissaddle.route.ConfigurationFinding.Severity;
 import org.ibissaddle.route.DeclaredConfiguration;
@@ -91,21 +93,34 @@
         Surroundings surroundings = new Surroundings(regions, servers, versionInForce);
         checked.configuration()
                 .ifPresent(configuration -> findings.addAll(ConfigurationCheck.check(configuration, surroundings)));
+        Optional<List<ConfigurationChange>> changes = before.flatMap(
+                old -> checked.configuration().map(configuration -> ConfigurationDiff.between(old, configuration)));
         if (line.hasOption(JSON)) {
-            out.println(toJson(file, findings));
+            out.println(toJson(file, findings, changes));
         } else {
-            printText(file, findings, out);
+            printText(file, findings, changes, out);
         }
         return count(findings, Severity.ERROR) == 0 ? WITHOUT_ERRORS : WITH_ERRORS;
     }
 
-    private static void printText(String file, List<ConfigurationFinding> findings, PrintStream out) {
+    private static void printText(
+            String file,
+            List<ConfigurationFinding> findings,
+            Optional<List<ConfigurationChange>> changes,
+            PrintStream out) {
         findings.forEach(finding -> out.println(finding.line()));
+        changes.ifPresent(list -> {
+            list.forEach(change -> out.println(change.line()));
+            if (list.isEmpty()) {
+                out.println("no changes");
+            }
+        });
         out.println(file + ": errors: " + count(findings, Severity.ERROR) + ", warnings: "
                 + count(findings, Severity.WARNING));
     }
 
-    private static ObjectNode toJson(String file, List<ConfigurationFinding> findings) {
+    private static ObjectNode toJson(
+            String file, List<ConfigurationFinding> findings, Optional<List<ConfigurationChange>> changes) {
         ObjectNode root = new JsonMapper().createObjectNode();
         root.put("file", file);
         root.put("errors", count(findings, Severity.ERROR));
@@ -117,6 +132,18 @@
                     .put("place", finding.place())
                     .put("message", finding.message());
         }
+        if (changes.isPresent()) {
+            ArrayNode changeList = root.putArray("changes");
+            for (ConfigurationChange change : changes.get()) {
+                ObjectNode node = changeList
+                        .addObject()
+                        .put("kind", change.kind().name().toLowerCase(Locale.ROOT))
+                        .put("subject", change.subject())
+                        .put("effect", change.effect());
+                ArrayNode details = node.putArray("details");
+                change.details().forEach(details::add);
+            }
+        }
         return root;
     }
 
--- a/ibissaddle-cli/src/test/java/org/ibissaddle/cli/ConfigurationCheckCommandTest.java
+++ b/ibissaddle-cli/src/test/java/org/ibissaddle/cli/ConfigurationCheckCommandTest.java
@@ -69,6 +69,22 @@
         assertThat(json.path("errors").intValue()).isEqualTo(1);
         assertThat(json.path("findings").path(0).path("severity").textValue()).isEqualTo("error");
         assertThat(json.path("findings").path(0).path("place").textValue()).isEqualTo("version");
+        assertThat(json.path("changes").isArray()).isTrue();
+        assertThat(json.path("changes")).isEmpty();
+    }
+
+    @Test
+    void shouldPrintTheChangesFromTheConfigurationInForce() throws IOException {
+        String old = file("old.json", VALID);
+        String next = file(
+                "next.json", VALID.replace("\"version\":2", "\"version\":3").replace("secret-a", "secret-b"));
+
+        assertThat(run("config-check", "--against", old, next)).isZero();
+        assertThat(run("config-check", "--json", "--against", old, next)).isZero();
+        assertThat(output())
+                .contains("changed workspace \"a\": keys[0] revoked, new keys[0] (")
+                .contains("\"details\":[\"keys[0] revoked\",\"new keys[0]\"]")
+                .doesNotContain("secret");
     }
 
     @Test
