--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -328,7 +328,7 @@
 
     /** Sends the request, unless others have waited for the free server longer. */
     private void sendInTurn(ServerSelectionResult.Selected found) {
-        if (core.requestQueue().comesBefore(this)
+        if (core.requestQueue().hasWaitersBefore(this)
                 && core.requestQueue().refusal(this).isEmpty()) {
             waiting = true;
             core.requestQueue().add(this);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestQueue.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestQueue.java
@@ -60,7 +60,7 @@
     }
 
     /** Whether requests of the same or a higher priority wait, so that a request must not take a free server. */
-    boolean comesBefore(RequestExchange exchange) {
+    boolean hasWaitersBefore(RequestExchange exchange) {
         QueueOrder<RequestExchange> queue = byService.get(exchange.service());
         return queue != null && queue.hasWaiting(exchange.waiter().priority(), waiting -> !waiting.isHeld());
     }
