Queue in the order of arrival without workspaces, and let no request wait for its turn

New requests take a free server again, the predicted wait no longer refuses any, and the fair order and late waiting apply to configurations with workspaces only, which ask for them.

--- a/ibissaddle-core/src/main/java/org/ibissaddle/backend/QueueTerms.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/backend/QueueTerms.java
@@ -61,6 +61,22 @@
                 giveUpAtMs);
     }
 
+    /**
+     * Returns the terms of a request of a deployment without workspaces, where nothing has to be shared fairly: by
+     * priority and arrival, and only as long as the response can be in time.
+     *
+     * @param request the request
+     * @return its terms in the queue
+     */
+    public QueueOrder.Waiter inOrderOfArrival(Request request) {
+        RequestTerms terms = request.terms();
+        long maxWaitMs = Math.min(
+                Math.round(terms.objectiveMs() * MIN_WAIT_FRACTION),
+                Math.round((request.deadlineMs() - terms.arrivedMs()) * MAX_WAIT_FRACTION));
+        long untilMs = terms.arrivedMs() + maxWaitMs;
+        return new QueueOrder.Waiter("", "", terms.priority(), 1, terms.arrivedMs(), untilMs, untilMs);
+    }
+
     /** Time to the first event at a server without other requests; for a plain service the response time. */
     private long firstEventMs(String service, RequestCost cost) {
         EngineSpeedEstimate speed = backends.speed(service);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestExchange.java
@@ -272,7 +272,7 @@
         }
         held = localSelection instanceof ServerSelectionResult.Held;
         switch (localSelection) {
-            case ServerSelectionResult.Selected found -> sendInTurn(found);
+            case ServerSelectionResult.Selected found -> sendToServer(found);
             case ServerSelectionResult.AtCapacity busy -> enqueue(busy.reason());
             case ServerSelectionResult.Held delayed -> enqueue(delayed.reason());
             case ServerSelectionResult.HeldOff held -> enqueueOrRefuse(held);
@@ -326,18 +326,6 @@
         core.requestQueue().add(this);
     }
 
-    /** Sends the request, unless others have waited for the free server longer. */
-    private void sendInTurn(ServerSelectionResult.Selected found) {
-        if (core.requestQueue().hasWaitersBefore(this)
-                && core.requestQueue().refusal(this).isEmpty()) {
-            waiting = true;
-            core.requestQueue().add(this);
-            core.onCapacityChanged(service);
-            return;
-        }
-        sendToServer(found);
-    }
-
     /** Returns what the order of the queue depends on; it stays the same while the request waits. */
     QueueOrder.Waiter waiter() {
         if (waiter == null) {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestQueue.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/RequestQueue.java
@@ -35,14 +35,14 @@
     }
 
     QueueOrder.Waiter termsOf(QueueTerms.Request request) {
-        return terms.of(request);
+        return core.hasWorkspaces() ? terms.of(request) : terms.inOrderOfArrival(request);
     }
 
     void start() {
         core.scheduleWithFixedDelay(this::retryAll, RETRY_INTERVAL_MS);
     }
 
-    /** Returns why a request should not be added now, empty if it is likely to be served before its timeout. */
+    /** Returns why a request should not be added now, empty if the queue has room. */
     Optional<String> refusal(RequestExchange exchange) {
         QueueOrder<RequestExchange> queue = byService.get(exchange.service());
         if (queue == null || queue.size() == 0) {
@@ -51,18 +51,7 @@
         if (queue.size() >= MAX_QUEUED_PER_SLOT * core.backends().slots(exchange.service())) {
             return Optional.of("the queue for servers of service " + exchange.service() + " is full");
         }
-        QueueOrder.Waiter waiter = exchange.waiter();
-        long waitMs = queue.predictedWaitMs(waiter, core.nowMs());
-        return core.nowMs() + waitMs < waiter.giveUpAtMs()
-                ? Optional.empty()
-                : Optional.of("the predicted wait of " + waitMs + " ms for a server of service " + exchange.service()
-                        + " is too long");
-    }
-
-    /** Whether requests of the same or a higher priority wait, so that a request must not take a free server. */
-    boolean hasWaitersBefore(RequestExchange exchange) {
-        QueueOrder<RequestExchange> queue = byService.get(exchange.service());
-        return queue != null && queue.hasWaiting(exchange.waiter().priority(), waiting -> !waiting.isHeld());
+        return Optional.empty();
     }
 
     /** Returns why a waiting request should be refused unless it is sent now, empty if it may go on waiting. */
