--- a/review/standin-2/Case.java
+++ b/review/standin-2/Case.java
@@ -10,7 +10,7 @@
         boolean run(Kit kit, boolean trouble) throws Exception;
     }
 
-    private static final Map<String, Play> CASES = Map.of("LargeBodies", LargeBodies::play);
+    private static final Map<String, Play> CASES = Map.of("LargeBodies", LargeBodies::play, "RollingRestart", RollingRestart::play);
 
     public static void main(String[] args) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -33,6 +33,7 @@
     private final PrintWriter record;
     private final long startNs = System.nanoTime();
     private final List<Gateway> gateways = new ArrayList<>();
+    private boolean closed;
     final Store store;
 
     Kit(String recordFile) throws IOException {
@@ -64,7 +65,11 @@
         return gateway;
     }
 
+    /** Kills all gateways; none starts afterwards. */
     void killAll() {
+        synchronized (gateways) {
+            closed = true;
+        }
         gateways.forEach(Gateway::kill);
     }
 
@@ -119,7 +124,7 @@
             lines.add("store-address = " + LOOPBACK + ":" + store.port());
             lines.add("[peers]");
             StringBuilder seeds = new StringBuilder(LOOPBACK + ":" + control);
-            for (Gateway other : gateways) {
+            for (Gateway other : gateways.subList(0, Math.min(2, gateways.size()))) {
                 seeds.append(',').append(LOOPBACK).append(':').append(other.control);
             }
             lines.add("seeds = " + seeds);
@@ -144,7 +149,12 @@
                     ? folder.resolve(name + ".log")
                     : Path.of(System.getenv("KEEP_LOGS"), name + ".log");
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-            process = builder.start();
+            synchronized (gateways) {
+                if (closed) {
+                    throw new IllegalStateException("the case has ended");
+                }
+                process = builder.start();
+            }
             record("start of " + name + ", process " + process.pid());
             long untilMs = nowMs() + 20_000;
             while (!isReady()) {
