Stop listening before the drain of an instance ends

Cause: the check that no connection is left released the main thread, and the event loop accepted and passed on requests until that thread closed it. At the end of the grace period requests were accepted, or completed, in the same way.

Change: the task that ends the drain closes the listening sockets, of callers and of other instances, before it releases the main thread. At the end of the grace period the sockets are closed first, a request whose body is incomplete is answered with 503, and nothing more is read. The line listening-ended marks the decision.

The two new tests of StopTest failed before and pass now.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +53,8 @@
     private final EventLoopGroup group;
     private final GatewayCore core;
     private final DecisionLog log;
+    /** Listening sockets for requests; confined to the event loop once the instance has started. */
+    private final List<Channel> requestListeners = new ArrayList<>();
 
     private Gateway(EventLoopGroup group, GatewayCore core, DecisionLog log) {
         this.group = group;
@@ -153,10 +156,12 @@
             List.copyOf(core.connections()).forEach(InboundHandler::closeIfIdle);
         }
         if (nowMs >= lingerUntilMs && core.connections().isEmpty()) {
+            stopListening("idle");
             idle.countDown();
             return;
         }
         if (nowMs >= cutoffMs) {
+            stopListening("grace-period-over");
             List.copyOf(core.connections()).forEach(InboundHandler::endForShutdown);
             core.schedule(idle::countDown, LAST_RESPONSES_MS);
             return;
@@ -164,6 +169,16 @@
         core.schedule(() -> checkIdle(lingerUntilMs, cutoffMs, idle), DRAIN_CHECK_INTERVAL_MS);
     }
 
+    /**
+     * Closes the listening sockets in the same task that ends the drain. The event loop runs on until the main thread
+     * closes it, and would otherwise accept requests that are cut then.
+     */
+    private void stopListening(String reason) {
+        requestListeners.forEach(Channel::close);
+        requestListeners.clear();
+        log.notice("listening-ended", "reason", reason, "connections", core.connections().size());
+    }
+
     private void closeTimedOutConnections() {
         long nowMs = core.nowMs();
         for (InboundHandler connection : List.copyOf(core.connections())) {
@@ -172,8 +187,8 @@
     }
 
     private void listenAll(GatewaySettings settings) throws IOException {
-        listen(settings.peerAddress(), requestInitializer(true));
-        listen(settings.callerAddress(), requestInitializer(false));
+        requestListeners.add(listen(settings.peerAddress(), requestInitializer(true)));
+        requestListeners.add(listen(settings.callerAddress(), requestInitializer(false)));
         listen(settings.directoryAddress(), managementInitializer());
         if (!settings.readinessAddress().equals(settings.directoryAddress())) {
             listen(settings.readinessAddress(), managementInitializer());
@@ -183,9 +198,9 @@
         }
     }
 
-    private void listen(Address address, ChannelInitializer<Channel> connections) throws IOException {
+    private Channel listen(Address address, ChannelInitializer<Channel> connections) throws IOException {
         try {
-            new ServerBootstrap()
+            return new ServerBootstrap()
                     .group(group)
                     .channel(NioServerSocketChannel.class)
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -194,7 +209,8 @@
                     .childOption(ChannelOption.RECVBUF_ALLOCATOR, newBufferAllocator())
                     .childHandler(connections)
                     .bind(new InetSocketAddress(address.host(), address.port()))
-                    .sync();
+                    .sync()
+                    .channel();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while listening on " + address, e);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -139,11 +139,21 @@
         }
     }
 
-    /** Ends the request in progress with a final response because the process is about to exit. */
+    /**
+     * Ends the request in progress with a final response because the process is about to exit, and processes no further
+     * one from this connection.
+     */
     void endForShutdown() {
+        keepAlive = false;
         if (exchange != null) {
             exchange.onShutdown();
+            return;
+        }
+        if (request != null && !bodyComplete && !discardBody) {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the instance is stopping", true);
+            return;
         }
+        closing = true;
     }
 
     @Override
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/StopTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/StopTest.java
@@ -1,11 +1,13 @@
 package org.ibissaddle.daemon.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.ibissaddle.daemon.gateway.GatewayFixture.exchange;
 import static org.ibissaddle.daemon.gateway.GatewayFixture.freeAddress;
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -34,6 +36,7 @@
     private Gateway gateway;
     private Address caller;
     private Address directory;
+    private Address peers;
 
     @BeforeEach
     void start() throws IOException {
@@ -47,8 +50,9 @@
         platform.put("servers/s1", GatewayFixture.entry(server.address()));
         caller = freeAddress();
         directory = freeAddress();
-        GatewaySettings settings = GatewayFixture.settings(
-                "north-1", "north", caller, directory, freeAddress(), List.of(), platform.address());
+        peers = freeAddress();
+        GatewaySettings settings =
+                GatewayFixture.settings("north-1", "north", caller, directory, peers, List.of(), platform.address());
         gateway = Gateway.start(settings, nowMs::get, OutputStream.nullOutputStream());
         GatewayFixture.awaitReadiness(directory, 200);
     }
@@ -63,23 +67,33 @@
     }
 
     private Future<String> post(String id, String headers) {
-        return threads.submit(() -> exchange(
-                caller,
-                "POST /once/7 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id + "\r\n" + headers
-                        + "Content-Length: 1\r\n\r\nx"));
+        return threads.submit(() -> exchange(caller, request(id, headers)));
+    }
+
+    private static String request(String id, String headers) {
+        return head(id, headers) + "x";
+    }
+
+    private static String head(String id, String headers) {
+        return "POST /once/7 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id + "\r\n" + headers
+                + "Content-Length: 1\r\n\r\n";
     }
 
     private void holdAnswers() {
         server.respondWith(request -> {
-            try {
-                answered.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            awaitRelease();
             return FakeBackendServer.response(request, "200 OK", "X-Server-Seal: s\r\n", "kept");
         });
     }
 
+    private void awaitRelease() {
+        try {
+            answered.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private Future<?> drain() throws IOException {
         Future<?> drained = threads.submit(() -> {
             gateway.drain();
@@ -118,9 +132,7 @@
     void shouldAnswerARequestOnAKeptConnectionDuringTheStop() throws Exception {
         try (Socket kept = new Socket(InetAddress.getLoopbackAddress(), caller.port())) {
             Future<?> drained = drain();
-            String request =
-                    "POST /once/7 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 7\r\n" + "Content-Length: 1\r\n\r\nx";
-            kept.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            kept.getOutputStream().write(request("7", "").getBytes(StandardCharsets.ISO_8859_1));
 
             assertThat(GatewayFixture.readAll(kept.getInputStream())).startsWith("HTTP/1.1 200");
             nowMs.addAndGet(LATE_MS);
@@ -158,6 +170,48 @@
         drained.get();
     }
 
+    /** Guards against requests that an instance accepts after its drain has ended, passes on and cuts by its exit. */
+    @Test
+    void shouldAcceptNoRequestAfterTheDrainHasEnded() throws Exception {
+        Future<?> drained = threads.submit(() -> {
+            gateway.drain();
+            return null;
+        });
+        GatewayFixture.awaitReadiness(directory, 503);
+        nowMs.addAndGet(LATE_MS);
+        drained.get();
+
+        for (Address address : List.of(caller, peers)) {
+            assertThatThrownBy(() -> exchange(address, request("late", "X-Deadline-Ms: 200\r\n")))
+                    .isInstanceOf(ConnectException.class);
+        }
+        assertThat(server.arrivals()).isEmpty();
+    }
+
+    /** Guards against requests that an instance still passes on while it ends the others, and cuts by its exit. */
+    @Test
+    void shouldRefuseARequestWhoseBodyIsIncompleteAtTheEndOfTheGracePeriod() throws Exception {
+        holdAnswers();
+        Future<String> running = post("running", "");
+        awaitArrivals(1);
+        Future<?> drained = drain();
+        try (Socket upload = new Socket(InetAddress.getLoopbackAddress(), caller.port())) {
+            String head = head("upload", "Expect: 100-continue\r\n");
+            upload.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+            byte[] interim = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+            assertThat(upload.getInputStream().readNBytes(interim.length)).isEqualTo(interim);
+            nowMs.addAndGet(LATE_MS + 1_000);
+
+            assertThat(GatewayFixture.readAll(upload.getInputStream()))
+                    .startsWith("HTTP/1.1 503")
+                    .containsIgnoringCase("Retry-After")
+                    .doesNotContain("(reset)");
+        }
+        assertThat(running.get()).startsWith("HTTP/1.1 502");
+        drained.get();
+        assertThat(server.arrivals()).hasSize(1);
+    }
+
     @Test
     void shouldGiveEveryRequestAFinalAnswerAtTheEndOfTheGracePeriod() throws Exception {
         holdAnswers();
