Do not close a connection as idle while its caller reads, or before its first request

What callers saw: in a planned stop, the end of an answer was lost on a slow link; new connections were closed before their request was read.

Cause: closeIfIdle asked only for a request in progress. The bytes that wait in the instance's own buffer were dropped with the connection, and one that was accepted in the same pass of the event loop as the check counted as idle. The idle timeout ran in the same way while a caller was reading.

Change: idle means that nothing is left to transmit, for 100 ms; the idle timeout starts again with each progress of the transmission.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/Gateway.java
@@ -153,7 +153,7 @@
     private void checkIdle(long lingerUntilMs, long cutoffMs, CountDownLatch idle) {
         long nowMs = core.nowMs();
         if (nowMs >= lingerUntilMs) {
-            List.copyOf(core.connections()).forEach(InboundHandler::closeIfIdle);
+            List.copyOf(core.connections()).forEach(connection -> connection.closeIfIdle(nowMs));
         }
         if (nowMs >= lingerUntilMs && core.connections().isEmpty()) {
             stopListening("idle");
@@ -176,7 +176,12 @@
     private void stopListening(String reason) {
         requestListeners.forEach(Channel::close);
         requestListeners.clear();
-        log.notice("listening-ended", "reason", reason, "connections", core.connections().size());
+        log.notice(
+                "listening-ended",
+                "reason",
+                reason,
+                "connections",
+                core.connections().size());
     }
 
     private void closeTimedOutConnections() {
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/InboundHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -35,6 +36,8 @@
 final class InboundHandler extends ChannelInboundHandlerAdapter implements ResponseWriter {
     /** Maximum number of queued messages of pipelined requests; reading from the connection then stops. */
     private static final int MAX_PENDING = 64;
+    /** Time in which the first request of a new connection may be on its way, milliseconds. */
+    private static final long MIN_IDLE_MS = 100;
 
     private final GatewayCore core;
     private final boolean fromPeer;
@@ -51,6 +54,7 @@
     private long arrivedMs;
     private long idleSinceMs;
     private long firstByteMs;
+    private long lastUnsentBytes;
 
     InboundHandler(GatewayCore core, boolean fromPeer) {
         this.core = core;
@@ -127,18 +131,35 @@
             }
             return;
         }
+        recordTransmission(nowMs);
         if (request == null && nowMs - idleSinceMs > limits.idleTimeoutMs()) {
             close();
         }
     }
 
-    /** Closes the connection unless a request is being received or processed. */
-    void closeIfIdle() {
-        if (request == null && firstByteMs == 0 && !closing) {
+    /** A connection is not idle while its caller still reads the latest response. */
+    private void recordTransmission(long nowMs) {
+        long bytes = unsentBytes();
+        if (bytes != lastUnsentBytes) {
+            lastUnsentBytes = bytes;
+            idleSinceMs = nowMs;
+        }
+    }
+
+    /** Closes the connection unless a request is being received or processed, or its response transmitted. */
+    void closeIfIdle(long nowMs) {
+        boolean idle = request == null && firstByteMs == 0 && unsentBytes() == 0;
+        if (idle && !closing && nowMs - idleSinceMs >= MIN_IDLE_MS) {
             close();
         }
     }
 
+    /** Returns the number of bytes that the operating system has not accepted yet. */
+    private long unsentBytes() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     /**
      * Ends the request in progress with a final response because the process is about to exit, and processes no further
      * one from this connection.
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/StopTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/StopTest.java
@@ -9,6 +9,7 @@
 import java.io.OutputStream;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -17,6 +18,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.ibissaddle.id.Address;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +30,14 @@
 class StopTest {
     /** Time after the stop signal at which the rest of the grace period is shorter than the timeout of the route. */
     private static final long LATE_MS = 3_000;
+    /** Time after the stop signal at which callers no longer connect, and all requests are still accepted. */
+    private static final long LINGERED_MS = 2_600;
+    /** Number of responses that are larger than the buffers of the operating system together. */
+    private static final int MAX_LARGE_RESPONSES = 8;
+
+    private static final int RECEIVE_BUFFER_BYTES = 65_536;
+    /** Time in which a drain checks its connections several times. */
+    private static final long SEVERAL_CHECKS_MS = 300;
 
     private final AtomicLong nowMs = new AtomicLong(1_000_000);
     private final CountDownLatch answered = new CountDownLatch(1);
@@ -223,4 +234,82 @@
         assertThat(running.get()).startsWith("HTTP/1.1 502").doesNotContain("(reset)");
         drained.get();
     }
+
+    /**
+     * Guards against the loss of the end of a response that a slow caller is still reading when its instance stops. The
+     * end is in the instance's own buffer after some number of responses that the operating system has accepted.
+     */
+    @Test
+    void shouldSendTheWholeOfEachResponseToSlowCallers() throws Exception {
+        String body = "x".repeat(1_000_000);
+        server.respondWith(request -> FakeBackendServer.response(request, "200 OK", "X-Server-Seal: s\r\n", body));
+        List<Socket> slow = new ArrayList<>();
+        for (int responses = 1; responses <= MAX_LARGE_RESPONSES; responses++) {
+            slow.add(pipeline(responses));
+        }
+        awaitNoMoreArrivals();
+        Future<?> drained = drain();
+        nowMs.addAndGet(LATE_MS);
+
+        assertThatThrownBy(() -> drained.get(SEVERAL_CHECKS_MS, TimeUnit.MILLISECONDS))
+                .isInstanceOf(TimeoutException.class);
+        List<Future<String>> received = slow.stream()
+                .map(socket -> threads.submit(
+                        () -> new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1)))
+                .toList();
+        for (Future<String> responses : received) {
+            assertThat(responses.get().split("HTTP/1.1 ", -1))
+                    .allSatisfy(response -> assertThat(response.isEmpty() || response.endsWith("\r\n\r\n" + body))
+                            .isTrue());
+        }
+        drained.get();
+        for (Socket socket : slow) {
+            socket.close();
+        }
+    }
+
+    /** Sends requests whose responses are not read yet. */
+    private Socket pipeline(int requests) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), caller.port()));
+        for (int i = 0; i < requests; i++) {
+            socket.getOutputStream().write(request(requests + "-" + i, "").getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return socket;
+    }
+
+    private void awaitNoMoreArrivals() throws InterruptedException {
+        int before = -1;
+        while (server.arrivals().size() > before) {
+            before = server.arrivals().size();
+            Thread.sleep(SEVERAL_CHECKS_MS);
+        }
+    }
+
+    /** Guards against closing a new connection whose request has not been read yet. */
+    @Test
+    void shouldAnswerTheFirstRequestOfANewConnectionDuringTheStop() throws Exception {
+        server.respondWith(request -> {
+            if (request.get("x-attempt-id").equals("running")) {
+                awaitRelease();
+            }
+            return FakeBackendServer.response(request, "200 OK", "X-Server-Seal: s\r\n", "kept");
+        });
+        Future<String> running = post("running", "");
+        awaitArrivals(1);
+        Future<?> drained = drain();
+        nowMs.addAndGet(LINGERED_MS);
+        try (Socket fresh = new Socket(InetAddress.getLoopbackAddress(), caller.port())) {
+            assertThatThrownBy(() -> drained.get(SEVERAL_CHECKS_MS, TimeUnit.MILLISECONDS))
+                    .isInstanceOf(TimeoutException.class);
+            fresh.getOutputStream().write(request("7", "").getBytes(StandardCharsets.ISO_8859_1));
+
+            assertThat(GatewayFixture.readAll(fresh.getInputStream())).startsWith("HTTP/1.1 200");
+        }
+        nowMs.addAndGet(LATE_MS - LINGERED_MS);
+        answered.countDown();
+        assertThat(running.get()).startsWith("HTTP/1.1 200");
+        drained.get();
+    }
 }
