Own interface: stop accepting requests before the instance closes

What callers saw: in a planned stop, a connection closed without an answer after its request had been accepted.

Between the last check for open requests and the close of the server, requests were accepted; bodies that were arriving and answers that were being transmitted did not count as open.

Change: the server stops to listen and closes the connections that wait for a request; the others are closed after their answer, and the drain waits for them. The three tests of CallerServerTest.Stop fail with a server that does nothing there, which is the code before, and pass now.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/Daemon.java
@@ -46,6 +46,7 @@
     private final CallerServer callerServer;
     private final ControlServer controlServer;
     private final ControlPlane controlPlane;
+    private final Settings.Limits limits;
     private final Clock clock;
     private final EventLog log;
 
@@ -55,6 +56,7 @@
             CallerServer callerServer,
             ControlServer controlServer,
             ControlPlane controlPlane,
+            Settings.Limits limits,
             Clock clock,
             EventLog log) {
         this.state = state;
@@ -62,6 +64,7 @@
         this.callerServer = callerServer;
         this.controlServer = controlServer;
         this.controlPlane = controlPlane;
+        this.limits = limits;
         this.clock = clock;
         this.log = log;
     }
@@ -96,7 +99,7 @@
         pipeline.startLoadReports(controlPlane::recordRegionLoad, controlPlane::recordDemand);
         controlPlane.start();
         log.info("started", "caller_address", callerServer.address(), "control_address", settings.controlAddress());
-        return new Daemon(state, pipeline, callerServer, controlServer, controlPlane, clock, log);
+        return new Daemon(state, pipeline, callerServer, controlServer, controlPlane, settings.limits(), clock, log);
     }
 
     private static EventSource origin(InstanceView self) {
@@ -128,7 +131,8 @@
 
     /**
      * Drains and waits until no request is open. Requests are still accepted while a discovery response or a ticket
-     * that names this instance is valid.
+     * that names this instance is valid. When none is open, the instance accepts no further ones, and waits for those
+     * that have come in the meantime and for the transmission of their responses.
      *
      * @throws InterruptedException if the wait is interrupted
      */
@@ -139,6 +143,12 @@
         while (clock.nowMs() < acceptDeadlineMs || pipeline.path().openRequests() > 0) {
             Thread.sleep(DRAIN_POLL_MS);
         }
+        callerServer.stopAccepting();
+        long lastResponsesDeadlineMs = clock.nowMs() + limits.defaultDeadlineMs();
+        while (pipeline.path().openRequests() > 0
+                || (callerServer.hasConnections() && clock.nowMs() < lastResponsesDeadlineMs)) {
+            Thread.sleep(DRAIN_POLL_MS);
+        }
         log.info("drained");
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerHandler.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.daemon.caller;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -35,8 +36,10 @@
     private final RequestHandler requestHandler;
     private final Settings.Limits limits;
     private final BodyBudget budget;
+    private final CallerConnections connections;
     private final Clock clock;
     private final ArrayDeque<Object> pipelinedMessages = new ArrayDeque<>();
+    private Channel channel;
     private State state = State.HEAD;
     private HttpRequest head;
     private BodyCollector body;
@@ -53,13 +56,38 @@
         CLOSING
     }
 
-    CallerHandler(RequestHandler requestHandler, Settings.Limits limits, BodyBudget budget, Clock clock) {
+    CallerHandler(
+            RequestHandler requestHandler,
+            Settings.Limits limits,
+            BodyBudget budget,
+            CallerConnections connections,
+            Clock clock) {
         this.requestHandler = requestHandler;
         this.limits = limits;
         this.budget = budget;
+        this.connections = connections;
         this.clock = clock;
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        connections.add(this);
+        closeIfStopped();
+    }
+
+    /** Closes the connection unless a request is being received or processed. May be called from any thread. */
+    void closeIfWaiting() {
+        channel.eventLoop().execute(this::closeIfStopped);
+    }
+
+    private void closeIfStopped() {
+        if (state == State.HEAD && connections.areStopped()) {
+            state = State.CLOSING;
+            channel.close();
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (state == State.REPLY) {
@@ -86,6 +114,10 @@
     private void processHead(ChannelHandlerContext ctx, HttpRequest request) {
         head = request;
         arrivedAtMs = clock.nowMs();
+        if (connections.areStopped()) {
+            refuseAndClose(ctx, Refusal.of(RefusalType.DRAINING, "this instance is stopping", ExecutionStatus.NOT_RUN));
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             refuseAndClose(ctx, malformed(request.decoderResult().cause()));
             return;
@@ -137,6 +169,7 @@
     private void processContent(ChannelHandlerContext ctx, HttpContent content) {
         if (state == State.DISCARDED_BODY && content instanceof LastHttpContent) {
             state = State.HEAD;
+            closeIfStopped();
         }
         if (state != State.BODY) {
             return;
@@ -179,7 +212,8 @@
             return;
         }
         state = State.HEAD;
-        while (state != State.REPLY && !pipelinedMessages.isEmpty()) {
+        closeIfStopped();
+        while (state != State.REPLY && state != State.CLOSING && !pipelinedMessages.isEmpty()) {
             process(ctx, pipelinedMessages.poll());
         }
         if (state != State.CLOSING) {
@@ -250,6 +284,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        connections.remove(this);
         state = State.CLOSING;
         releaseBody();
         pipelinedMessages.forEach(ReferenceCountUtil::release);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerServer.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/caller/CallerServer.java
@@ -33,10 +33,12 @@
 
     private final EventLoopGroup group;
     private final Channel serverChannel;
+    private final CallerConnections connections;
 
-    private CallerServer(EventLoopGroup group, Channel serverChannel) {
+    private CallerServer(EventLoopGroup group, Channel serverChannel, CallerConnections connections) {
         this.group = group;
         this.serverChannel = serverChannel;
+        this.connections = connections;
     }
 
     /**
@@ -55,6 +57,7 @@
         HttpDecoderConfig config = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes());
+        CallerConnections connections = new CallerConnections();
         BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / BODY_BUDGET_HEAP_DIVISOR);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
@@ -71,13 +74,13 @@
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(config))
                                 .addLast(new IdleStateHandler(IDLE_TIMEOUT_MS, 0, 0, TimeUnit.MILLISECONDS))
-                                .addLast(new CallerHandler(requestHandler, limits, budget, clock));
+                                .addLast(new CallerHandler(requestHandler, limits, budget, connections, clock));
                     }
                 });
         try {
             Channel serverChannel =
                     bootstrap.bind(address.host(), address.port()).sync().channel();
-            return new CallerServer(group, serverChannel);
+            return new CallerServer(group, serverChannel, connections);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             group.shutdownGracefully();
@@ -98,6 +101,24 @@
         return new Address(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
+    /**
+     * Stops listening and closes the connections that wait for a request. The others are closed after the response to
+     * the request that is being received or processed.
+     */
+    public void stopAccepting() {
+        connections.stop();
+        serverChannel.close().syncUninterruptibly();
+    }
+
+    /**
+     * Returns whether requests are being received, processed or answered, or connections wait for a request.
+     *
+     * @return true if a connection is open
+     */
+    public boolean hasConnections() {
+        return connections.areOpen();
+    }
+
     /** Stops listening and closes all connections. */
     @Override
     public void close() {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/caller/CallerServerTest.java
@@ -1,8 +1,10 @@
 package org.ibissaddle.daemon.caller;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -377,4 +379,47 @@
             assertThat(budget.reservedBytes()).isZero();
         }
     }
+
+    @Nested
+    class Stop {
+        /** Guards against a request that is accepted after the drain of its instance, run and cut. */
+        @Test
+        void shouldAcceptNoConnection() {
+            server.stopAccepting();
+
+            assertThatThrownBy(() -> caller()).isInstanceOf(ConnectException.class);
+        }
+
+        @Test
+        void shouldNotProcessARequestOnAKeptConnection() throws IOException {
+            try (RawHttpClient kept = caller()) {
+                assertThat(kept.send(post("/ok", 0)).answer().status()).isEqualTo(200);
+                server.stopAccepting();
+
+                assertThat(kept.connectionClosed()).isTrue();
+            }
+            assertThat(service.served).hasValue(1);
+            awaitNoConnections();
+        }
+
+        @Test
+        void shouldAnswerARequestWhoseBodyIsArriving() throws IOException {
+            try (RawHttpClient upload = caller()) {
+                upload.send("POST /ok HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+                assertThat(upload.answer().status()).isEqualTo(100);
+                server.stopAccepting();
+                assertThat(server.hasConnections()).isTrue();
+
+                assertThat(upload.send("hi").answer().body()).isEqualTo("/ok 2");
+                assertThat(upload.connectionClosed()).isTrue();
+            }
+            awaitNoConnections();
+        }
+
+        private void awaitNoConnections() {
+            while (server.hasConnections()) {
+                Thread.onSpinWait();
+            }
+        }
+    }
 }
