Take a response whose status code is outside 100 to 599 for none

What callers saw: the status line and headers of a faulty server, such as 000, as an answer.

Cause: Netty's decoder and OkHttp accept any number, and such a code belongs to none of the classes that are asked for.

Change: the connection to servers and other instances takes it for an invalid response: the request may have run, and the caller gets 502 or another server's answer. The own interface makes the same check in ResponseCheck, which was ResponseOriginCheck.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseOriginCheck.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseCheck.java
@@ -10,15 +10,22 @@
 import okhttp3.Response;
 
 /**
- * Rejects a response that may be that to an earlier request: on a connection that has carried other requests, a backend
- * server must name the request that it answers. The events of a stream name it themselves, and other instances send no
- * response twice.
+ * Rejects what is no response to its request:
+ *
+ * <ul>
+ *   <li>a response that may be that to an earlier request: on a connection that has carried other requests, a backend
+ *       server must name the request that it answers. The events of a stream name it themselves, and other instances
+ *       send no response twice.
+ *   <li>a response whose status code is outside the protocol.
+ * </ul>
  */
-final class ResponseOriginCheck implements Interceptor {
+final class ResponseCheck implements Interceptor {
     private static final String CONTENT_TYPE_HEADER = "Content-Type";
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String REQUEST_ID_HEADER = "X-Request-Id";
     private static final String FORWARDED_HEADER = "X-Hop";
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
 
     private final Set<Connection> usedConnections =
             Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
@@ -27,13 +34,20 @@
     public Response intercept(Chain chain) throws IOException {
         boolean reused = !usedConnections.add(chain.connection());
         Response response = chain.proceed(chain.request());
+        if (response.code() < MIN_STATUS || response.code() > MAX_STATUS) {
+            throw rejected(response, "status code " + response.code() + " is outside 100 to 599");
+        }
         if (reused && !isEventStream(response) && !namesRequest(response, chain.request())) {
-            response.close();
-            throw new IOException("a response on a reused connection does not name the request");
+            throw rejected(response, "a response on a reused connection does not name the request");
         }
         return response;
     }
 
+    private static IOException rejected(Response response, String reason) {
+        response.close();
+        return new IOException(reason);
+    }
+
     private static boolean isEventStream(Response response) {
         return response.isSuccessful()
                 && response.header(CONTENT_TYPE_HEADER, "").startsWith(EVENT_STREAM);
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
@@ -53,7 +53,7 @@
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .addNetworkInterceptor(ServiceClient::sendOnce)
-                .addNetworkInterceptor(new ResponseOriginCheck())
+                .addNetworkInterceptor(new ResponseCheck())
                 .build();
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -67,7 +67,7 @@
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .addNetworkInterceptor(StreamClient::sendOnce)
-                .addNetworkInterceptor(new ResponseOriginCheck())
+                .addNetworkInterceptor(new ResponseCheck())
                 .build();
         streamingClient = nonStreamingClient
                 .newBuilder()
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/http/ClientConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -190,7 +191,11 @@
             abort("second response head before the end of the response");
             return;
         }
-        if (head.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL
+        if (head.status().codeClass() == HttpStatusClass.UNKNOWN) {
+            abort("status code " + head.status().code() + " is outside 100 to 599");
+            return;
+        }
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL
                 && !head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             return;
         }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/ServiceClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/ServiceClientTest.java
@@ -113,4 +113,14 @@
             assertThat(send(server.address())).isInstanceOf(AttemptResult.Answered.class);
         }
     }
+
+    /** Guards against an answer whose status code is none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "999"})
+    void shouldNotTakeAStatusOutsideTheProtocolForAnAnswer(String status) throws IOException {
+        String response = "HTTP/1.1 " + status + " None\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n";
+        try (SingleResponseServer server = new SingleResponseServer(response, ConnectionEnd.CLOSED)) {
+            assertThat(send(server.address())).isInstanceOf(AttemptResult.LostAfterWrite.class);
+        }
+    }
 }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
@@ -49,10 +49,13 @@
     }
 
     private AttemptResult fetch(Address server, String requestId) {
+        return fetch(server, requestId, new byte[0]);
+    }
+
+    private AttemptResult fetch(Address server, String requestId, byte[] body) {
         return client.fetch(
                         SERVER,
-                        StreamClient.postRequest(
-                                server, "/v1/completions", Map.of("X-Request-Id", requestId), new byte[0]),
+                        StreamClient.postRequest(server, "/v1/completions", Map.of("X-Request-Id", requestId), body),
                         TIMEOUT_MS,
                         call -> {})
                 .evidence();
@@ -150,4 +153,14 @@
     private static String unescape(String text) {
         return text.replace("\\r", "\r").replace("\\n", "\n");
     }
+
+    /** Guards against an answer whose status code is none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "999"})
+    void shouldNotTakeAStatusOutsideTheProtocolForAnAnswer(String status) throws IOException {
+        String response = "HTTP/1.1 " + status + " None\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n";
+        try (SingleResponseServer server = new SingleResponseServer(response, ConnectionEnd.CLOSED)) {
+            assertThat(fetch(server.address())).isInstanceOf(AttemptResult.LostAfterWrite.class);
+        }
+    }
 }
