Own interface: do not take part of an early response for all of it after a reset

What callers saw, on other systems of this kind: part of a 200 without a length as a complete answer, when its server reset the connection during a long upload.

Cause: OkHttp reads a response although writing the request has failed. The operating system reports the reset once, to the writer; the reader then sees a clean end.

Change: WriteFailure records that writing has failed, and ResponseCheck rejects a response without a length after that.

Failed before: the 4 of 8 cases without a length, in ServiceClientTest and in StreamClientTest each.

--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseBodyReader.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseBodyReader.java
@@ -48,7 +48,8 @@
                 .find();
     }
 
-    private static boolean isFramed(Response response) {
+    /** Returns whether the end of a body differs from the end of its connection. */
+    static boolean isFramed(Response response) {
         return response.header("Content-Length") != null
                 || response.header("Transfer-Encoding") != null
                 || response.code() == 204
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseCheck.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ResponseCheck.java
@@ -10,12 +10,14 @@
 import okhttp3.Response;
 
 /**
- * Rejects what is no response to its request:
+ * Rejects what is no response to its request, or may be part of one:
  *
  * <ul>
  *   <li>a response that may be that to an earlier request: on a connection that has carried other requests, a backend
  *       server must name the request that it answers. The events of a stream name it themselves, and other instances
  *       send no response twice.
+ *   <li>a response without a length on a connection that was reset while the request was written: its end looks like
+ *       that of a complete one.
  *   <li>a response whose status code is outside the protocol.
  * </ul>
  */
@@ -40,6 +42,9 @@
         if (reused && !isEventStream(response) && !namesRequest(response, chain.request())) {
             throw rejected(response, "a response on a reused connection does not name the request");
         }
+        if (WriteFailure.hasOccurred(chain.request()) && !ResponseBodyReader.isFramed(response)) {
+            throw rejected(response, "the connection was reset before the end of a response without a length");
+        }
         return response;
     }
 
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/ServiceClient.java
@@ -54,6 +54,7 @@
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .addNetworkInterceptor(ServiceClient::sendOnce)
                 .addNetworkInterceptor(new ResponseCheck())
+                .eventListenerFactory(WriteFailure::listenerOf)
                 .build();
     }
 
@@ -171,7 +172,7 @@
                 .method(request.method(), withoutBody ? null : new OneShotBody(request))
                 .tag(Attempt.class, attempt);
         request.headers().forEach(builder::header);
-        return builder.build();
+        return WriteFailure.recordedFor(builder.build());
     }
 
     @Override
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/backend/StreamClient.java
@@ -68,6 +68,7 @@
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .addNetworkInterceptor(StreamClient::sendOnce)
                 .addNetworkInterceptor(new ResponseCheck())
+                .eventListenerFactory(WriteFailure::listenerOf)
                 .build();
         streamingClient = nonStreamingClient
                 .newBuilder()
@@ -281,7 +282,8 @@
     }
 
     private static Request withWriteState(Request request) {
-        return request.newBuilder().tag(WriteState.class, new WriteState()).build();
+        return WriteFailure.recordedFor(
+                request.newBuilder().tag(WriteState.class, new WriteState()).build());
     }
 
     private static Response sendOnce(Interceptor.Chain chain) throws IOException {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/ServiceClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/ServiceClientTest.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import javax.net.SocketFactory;
 import org.ibissaddle.daemon.backend.SingleResponseServer.ConnectionEnd;
+import org.ibissaddle.daemon.http.EarlyResponseServer;
+import org.ibissaddle.daemon.http.EarlyResponseServer.Ending;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
@@ -114,6 +116,19 @@
         }
     }
 
+    /** Guards against part of a response that is taken for all of it after its connection was reset in an upload. */
+    @ParameterizedTest
+    @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#resetDuringUpload")
+    void shouldNotTakeAPartForTheWholeAfterAResetDuringTheUpload(String part, Ending ending) throws IOException {
+        ServiceRequest upload = new ServiceRequest(
+                "POST", "/stock/7", Map.of("X-Request-Id", "r1"), new byte[TruncatedResponses.UPLOAD_BYTES]);
+        try (EarlyResponseServer server = new EarlyResponseServer("fake", part, ending);
+                ServiceClient client = ServiceClient.unpooled(SocketFactory.getDefault())) {
+            assertThat(client.send(new ServerId("fake"), server.address(), upload, Optional::empty, TIMEOUT_MS))
+                    .isNotInstanceOf(AttemptResult.Answered.class);
+        }
+    }
+
     /** Guards against an answer whose status code is none. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "099", "600", "999"})
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/StreamClientTest.java
@@ -12,6 +12,8 @@
 import okhttp3.sse.EventSourceListener;
 import okhttp3.sse.EventSources;
 import org.ibissaddle.daemon.backend.SingleResponseServer.ConnectionEnd;
+import org.ibissaddle.daemon.http.EarlyResponseServer;
+import org.ibissaddle.daemon.http.EarlyResponseServer.Ending;
 import org.ibissaddle.dispatch.AttemptResult;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.ServerId;
@@ -154,6 +156,16 @@
         return text.replace("\\r", "\r").replace("\\n", "\n");
     }
 
+    /** Guards against part of a response that is taken for all of it after its connection was reset in an upload. */
+    @ParameterizedTest
+    @MethodSource("org.ibissaddle.daemon.backend.TruncatedResponses#resetDuringUpload")
+    void shouldNotTakeAPartForTheWholeAfterAResetDuringTheUpload(String part, Ending ending) throws IOException {
+        try (EarlyResponseServer server = new EarlyResponseServer("fake", part, ending)) {
+            assertThat(fetch(server.address(), "r1", new byte[TruncatedResponses.UPLOAD_BYTES]))
+                    .isNotInstanceOf(AttemptResult.Answered.class);
+        }
+    }
+
     /** Guards against an answer whose status code is none. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "099", "600", "999"})
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/backend/TruncatedResponses.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import java.util.stream.Stream;
+import org.ibissaddle.daemon.http.EarlyResponseServer.Ending;
 import org.junit.jupiter.params.provider.Arguments;
 
 /** Responses whose connection ends before or after their last byte. */
@@ -12,8 +13,21 @@
     private static final String JSON = "HTTP/1.1 200 OK\r\nContent-Type: application/json; charset=utf-8\r\n";
     private static final String TEXT = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
 
+    /** Larger than the socket buffers, so that the upload is under way when the connection is reset. */
+    static final int UPLOAD_BYTES = 4_000_000;
+
     private TruncatedResponses() {}
 
+    /** Returns parts of responses that are sent before the end of an upload, and when their connection is reset. */
+    static Stream<Arguments> resetDuringUpload() {
+        return Stream.of(
+                        JSON + "\r\n{\"lot\":7}",
+                        TEXT + "\r\nlot 7, and",
+                        TEXT + "Content-Length: 30\r\n\r\nlot 7, and",
+                        TEXT + "Transfer-Encoding: chunked\r\n\r\n5\r\nlot 7\r\n")
+                .flatMap(part -> Stream.of(arguments(part, Ending.RESET_AT_ONCE), arguments(part, Ending.RESET_LATE)));
+    }
+
     /** Returns responses that are incomplete, and how their connection ends. */
     static Stream<Arguments> truncated() {
         return Stream.of(
