Do not end at a reload signal during the start

What callers saw: an instance that already accepted connections ended, with their requests, when SIGHUP came while it was starting.

Cause: the handler of SIGHUP was installed after the instance listened; until then the signal ends a process.

Change: it is installed before, and does nothing until the instance runs. The time of the settings file is taken before the file is read, so that a change in between is noticed.

--- a/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
+++ b/ibissaddle-cli/src/main/java/org/ibissaddle/cli/GatewayCommand.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.ibissaddle.daemon.gateway.Gateway;
@@ -44,11 +45,14 @@
         Path file = SettingsOption.file(line);
         OutputStream output = new FileOutputStream(FileDescriptor.out);
         ShutdownSignals signals = new ShutdownSignals();
+        // The settings are read below, and a change since then is noticed by the time of the file.
+        AtomicReference<Runnable> reload = new AtomicReference<>(() -> {});
+        signals.onReload(() -> reload.get().run());
+        long loadedModificationMs = file.toFile().lastModified();
         try (Gateway gateway =
                 Gateway.start(readSettings(file), () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), output)) {
             signals.onRepeat(gateway::logRepeatedStop);
-            signals.onReload(() -> reload(gateway, file));
-            long loadedModificationMs = file.toFile().lastModified();
+            reload.set(() -> reload(gateway, file));
             while (!signals.await(SETTINGS_POLL_MS)) {
                 long modificationMs = file.toFile().lastModified();
                 if (modificationMs != loadedModificationMs) {
--- a/ibissaddle-cli/src/test/java/org/ibissaddle/cli/GatewayCommandTest.java
+++ b/ibissaddle-cli/src/test/java/org/ibissaddle/cli/GatewayCommandTest.java
@@ -117,4 +117,26 @@
         assertThat(awaitEvent("stopped")).isTrue();
         assertThat(process.waitFor()).isZero();
     }
+
+    // Guards against callers being cut off because a reload signal ended a process that already listened.
+    @Test
+    void shouldNotEndAtAReloadSignalDuringTheStart() throws Exception {
+        awaitListening();
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+
+        assertThat(awaitEvent("started")).isTrue();
+        process.toHandle().destroy();
+        assertThat(process.waitFor()).isZero();
+    }
+
+    private void awaitListening() {
+        boolean listening = false;
+        while (!listening) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
+                listening = socket.isConnected();
+            } catch (IOException e) {
+                Thread.onSpinWait();
+            }
+        }
+    }
 }
