--- a/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
@@ -14,9 +14,15 @@
 import org.ibissaddle.route.Configuration;
 
 /**
- * Local copy of the state that the platform publishes. A later revision of a key replaces an earlier one, whether it
- * was received from the platform or from another instance. A configuration is never replaced by one with a lower
- * version. Confined to one thread.
+ * Local copy of the state that the platform publishes. A later version of a key replaces an earlier one, whether it was
+ * received from the platform or from another instance. A configuration is never replaced by one with a lower version.
+ * Confined to one thread.
+ *
+ * <p>In a new era the platform's store has an older copy of its state, and its writers have yet to repeat what they
+ * wrote since. Until then, what is known to be later than the copy stays: the configuration with the highest version,
+ * the latest entry of each server process, and its removal. What the copy lacks is judged as after an outage: servers
+ * are removed unless they are published again within the grace period, and evacuations stay in force for longer, since
+ * a request to an evacuated zone does more harm than a zone that is spared for some seconds.
  */
 public final class Catalog {
     /**
@@ -25,6 +31,9 @@
      */
     public static final long REPUBLISH_GRACE_MS = 2_000;
 
+    /** Time after the start of an era for which evacuations stay in force that the store no longer has. */
+    public static final long EVACUATION_GRACE_MS = 10_000;
+
     private static final int MAX_TOMBSTONES = 4_096;
 
     private final CatalogEventDecoder reader;
@@ -32,9 +41,19 @@
     private final Map<ServerId, ServerEntry> servers = new HashMap<>();
     private final Set<Zone> evacuated = new HashSet<>();
     private final Map<String, CatalogItem> deferredRemovals = new HashMap<>();
+    /** Latest entries of removed servers: the copy of a new era may still have an earlier one. */
+    private final Map<ServerId, ServerEntry> removedServers = new HashMap<>();
+    /** Evacuations in force that the store of this era does not have. */
+    private final Map<String, CatalogItem> unconfirmedEvacuations = new HashMap<>();
+
     private Optional<Configuration> configuration = Optional.empty();
-    private long revision;
-    private long historyFrom = Long.MAX_VALUE;
+    private StoreVersion version = StoreVersion.NONE;
+    private StoreVersion historyFrom = StoreVersion.MAX;
+    /** Version of the latest full listing: what it does not have, and is not later, was removed before. */
+    private StoreVersion listedAt = StoreVersion.NONE;
+
+    private long unconfirmedUntilMs;
+    private long ignoredItems;
     private long graceUntilMs;
     /** End of the grace period of another instance, which is not reported to others: it would extend itself. */
     private long otherGraceUntilMs;
@@ -51,7 +70,8 @@
     }
 
     /**
-     * Applies changes received from the platform or from another instance.
+     * Applies changes received from the platform or from another instance. Those of another era are ignored: a later
+     * era begins with a full listing.
      *
      * @param changes the changes
      * @param nowMs current time, milliseconds
@@ -60,11 +80,26 @@
     public List<CatalogEvent> apply(Collection<CatalogItem> changes, long nowMs) {
         List<CatalogEvent> events = new ArrayList<>();
         for (CatalogItem change : changes) {
+            if (!version.equals(StoreVersion.NONE) && change.version().era() != version.era()) {
+                ignoredItems++;
+                continue;
+            }
             CatalogItem current = items.get(change.key());
-            if (current != null && current.revision() >= change.revision()) {
+            if ((current == null && !change.version().isAfter(listedAt))
+                    || isKnown(change, current)
+                    || isKnown(change, deferredRemovals.get(change.key()))
+                    || isKnown(change, unconfirmedEvacuations.get(change.key()))) {
+                continue;
+            }
+            version = StoreVersion.max(version, change.version());
+            boolean kept = current != null
+                    && current.version().era() < change.version().era()
+                    && !isLater(change);
+            if (kept) {
+                forgetRemoval(change.key());
+                store(current.at(change.version()));
                 continue;
             }
-            revision = Math.max(revision, change.revision());
             applyOrDefer(change, nowMs, events);
         }
         return events;
@@ -72,26 +107,40 @@
 
     /**
      * Replaces the contents with a full listing from the platform. Removes keys that are missing from the listing,
-     * unless their revision is later.
+     * unless their version is later.
      *
      * @param all all items
-     * @param atRevision lower bound of the revision at which the listing was read
+     * @param at lower bound of the version at which the listing was read
      * @param nowMs current time, milliseconds
      * @return the resulting changes of the local state
      */
-    public List<CatalogEvent> applySnapshot(Collection<CatalogItem> all, long atRevision, long nowMs) {
+    public List<CatalogEvent> applySnapshot(Collection<CatalogItem> all, StoreVersion at, long nowMs) {
+        if (at.era() < version.era()) {
+            ignoredItems += all.size();
+            return List.of();
+        }
+        boolean newEra = at.era() > version.era() && !version.equals(StoreVersion.NONE);
+        if (newEra) {
+            version = new StoreVersion(at.era(), 0);
+            startGracePeriod(nowMs);
+            unconfirmedUntilMs = nowMs + EVACUATION_GRACE_MS;
+        }
+        StoreVersion listedBefore = listedAt;
+        listedAt = at.isAfter(listedAt) ? StoreVersion.NONE : listedAt;
         List<CatalogEvent> events = new ArrayList<>(apply(all, nowMs));
+        listedAt = StoreVersion.max(listedBefore, at);
         Set<String> present = new HashSet<>();
         all.forEach(item -> present.add(item.key()));
         for (CatalogItem current : List.copyOf(items.values())) {
-            boolean missing =
-                    !current.isRemoved() && !present.contains(current.key()) && current.revision() <= atRevision;
+            boolean missing = !current.isRemoved()
+                    && !present.contains(current.key())
+                    && !current.version().isAfter(at);
             if (missing) {
-                applyOrDefer(new CatalogItem(current.key(), null, atRevision), nowMs, events);
+                removeMissing(current, at, nowMs, events);
             }
         }
-        revision = Math.max(revision, atRevision);
-        historyFrom = Math.min(historyFrom, atRevision);
+        version = StoreVersion.max(version, at);
+        historyFrom = newEra ? at : StoreVersion.min(historyFrom, at);
         return events;
     }
 
@@ -126,31 +175,56 @@
     }
 
     /**
-     * Removes servers whose entries expired during an outage and were not published again within the grace period.
+     * Removes servers whose entries expired during an outage and were not published again within the grace period, and
+     * ends evacuations that the store of a new era has not had for {@link #EVACUATION_GRACE_MS}.
      *
      * @param nowMs current time, milliseconds
      * @return the removals
      */
     public List<CatalogEvent> applyDeferredRemovals(long nowMs) {
-        if (deferredRemovals.isEmpty() || isGracePeriod(nowMs)) {
-            return List.of();
-        }
         List<CatalogEvent> events = new ArrayList<>();
-        for (CatalogItem removal : List.copyOf(deferredRemovals.values())) {
+        if (!isGracePeriod(nowMs)) {
+            applyAll(deferredRemovals, events);
+        }
+        if (nowMs >= unconfirmedUntilMs) {
+            applyAll(unconfirmedEvacuations, events);
+        }
+        return events;
+    }
+
+    private void applyAll(Map<String, CatalogItem> deferred, List<CatalogEvent> events) {
+        for (CatalogItem removal : List.copyOf(deferred.values())) {
             store(removal);
             applyEvent(reader.decodeItem(removal), events);
         }
-        deferredRemovals.clear();
-        return events;
+        deferred.clear();
+    }
+
+    /**
+     * Returns the latest version received.
+     *
+     * @return the version, {@link StoreVersion#NONE} if none was received
+     */
+    public StoreVersion version() {
+        return version;
+    }
+
+    /**
+     * Returns the number of items that were ignored because they are of an earlier era.
+     *
+     * @return number since the creation
+     */
+    public long ignoredItems() {
+        return ignoredItems;
     }
 
     /**
-     * Returns the highest revision received.
+     * Returns the number of servers and evacuations that are kept although the store does not have them at present.
      *
-     * @return the revision, 0 if none was received
+     * @return number of deferred removals
      */
-    public long revision() {
-        return revision;
+    public int unconfirmedItems() {
+        return deferredRemovals.size() + unconfirmedEvacuations.size();
     }
 
     /**
@@ -182,25 +256,25 @@
     }
 
     /**
-     * Returns the changes after a revision, including removals and those that are still deferred, to be sent to another
-     * instance; without secrets.
+     * Returns the changes after a version, including removals and those that are still deferred, to be sent to another
+     * instance; without secrets, and without what was published in earlier eras only.
      *
-     * @param after the revision
-     * @return the changes with a later revision
+     * @param after the version
+     * @return the changes with a later version
      */
-    public List<CatalogItem> changesAfter(long after) {
+    public List<CatalogItem> changesAfter(StoreVersion after) {
         return Stream.concat(items.values().stream(), deferredRemovals.values().stream())
-                .filter(item -> item.revision() > after)
+                .filter(item -> item.version().isAfter(after) && item.version().era() == version.era())
                 .toList();
     }
 
     /**
-     * Returns the revision from which all removals are known. Another instance that knows an earlier revision can't
-     * learn from this one what was removed in between.
+     * Returns the version from which all removals are known. Another instance that knows an earlier version of the same
+     * era can't learn from this one what was removed in between.
      *
-     * @return the revision, {@link Long#MAX_VALUE} if the platform was not read
+     * @return the version, {@link StoreVersion#MAX} if the platform was not read
      */
-    public long historyFrom() {
+    public StoreVersion historyFrom() {
         return historyFrom;
     }
 
@@ -208,6 +282,40 @@
         return nowMs < graceUntilMs || nowMs < otherGraceUntilMs;
     }
 
+    private static boolean isKnown(CatalogItem change, CatalogItem known) {
+        return known != null && !change.version().isAfter(known.version());
+    }
+
+    /**
+     * Returns whether an item of a new era is later than what is known: the store may have come back with an earlier
+     * configuration, or an earlier entry of a server process.
+     */
+    private boolean isLater(CatalogItem change) {
+        return switch (reader.decodeItem(change)) {
+            case CatalogEvent.ConfigurationPublished published -> isNewer(published.configuration());
+            case CatalogEvent.ServerPublished published -> isLatest(published.entry());
+            default -> true;
+        };
+    }
+
+    private boolean isLatest(ServerEntry entry) {
+        ServerEntry known = servers.getOrDefault(entry.id(), removedServers.get(entry.id()));
+        return known == null || entry.isAfter(known);
+    }
+
+    private void removeMissing(CatalogItem known, StoreVersion at, long nowMs, List<CatalogEvent> events) {
+        CatalogItem removal = new CatalogItem(known.key(), null, at);
+        if (known.version().era() == at.era()) {
+            applyOrDefer(removal, nowMs, events);
+            return;
+        }
+        switch (reader.decodeItem(removal)) {
+            case CatalogEvent.EvacuationWithdrawn withdrawn -> unconfirmedEvacuations.put(known.key(), removal);
+            case CatalogEvent.Ignored configuration -> store(known.at(at));
+            default -> applyOrDefer(removal, nowMs, events);
+        }
+    }
+
     private void applyOrDefer(CatalogItem change, long nowMs, List<CatalogEvent> events) {
         CatalogEvent event = reader.decodeItem(change);
         boolean deferRemoval = event instanceof CatalogEvent.ServerRemoved && isGracePeriod(nowMs);
@@ -215,25 +323,35 @@
             deferredRemovals.put(change.key(), change);
             return;
         }
-        deferredRemovals.remove(change.key());
+        forgetRemoval(change.key());
         store(change);
         applyEvent(event, events);
     }
 
+    private void forgetRemoval(String key) {
+        deferredRemovals.remove(key);
+        unconfirmedEvacuations.remove(key);
+    }
+
     private void store(CatalogItem change) {
         items.put(change.key(), reader.withoutSecrets(change));
         if (change.isRemoved() && ++tombstoneCount > MAX_TOMBSTONES) {
             items.values().removeIf(CatalogItem::isRemoved);
+            removedServers.clear();
             tombstoneCount = 0;
-            historyFrom = historyFrom == Long.MAX_VALUE ? historyFrom : revision;
+            historyFrom = historyFrom.equals(StoreVersion.MAX) ? historyFrom : version;
         }
     }
 
     private void applyEvent(CatalogEvent event, List<CatalogEvent> events) {
         switch (event) {
-            case CatalogEvent.ServerPublished published ->
+            case CatalogEvent.ServerPublished published -> {
                 servers.put(published.entry().id(), published.entry());
-            case CatalogEvent.ServerRemoved removed -> servers.remove(removed.id());
+                removedServers.remove(published.entry().id());
+            }
+            case CatalogEvent.ServerRemoved removed ->
+                Optional.ofNullable(servers.remove(removed.id()))
+                        .ifPresent(entry -> removedServers.put(removed.id(), entry));
             case CatalogEvent.EvacuationRequested requested -> evacuated.add(requested.zone());
             case CatalogEvent.EvacuationWithdrawn withdrawn -> evacuated.remove(withdrawn.zone());
             case CatalogEvent.ConfigurationPublished published -> {
--- a/ibissaddle-core/src/main/java/org/ibissaddle/catalog/CatalogItem.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/catalog/CatalogItem.java
@@ -5,9 +5,9 @@
  *
  * @param key the key
  * @param value the value as published; null if the key was removed
- * @param revision revision of the change
+ * @param version version of the store with this change
  */
-public record CatalogItem(String key, String value, long revision) {
+public record CatalogItem(String key, String value, StoreVersion version) {
     /**
      * Returns whether the key was removed.
      *
@@ -16,4 +16,14 @@
     public boolean isRemoved() {
         return value == null;
     }
+
+    /**
+     * Returns this item as that of another version of the store.
+     *
+     * @param next the version
+     * @return an item with the same key and value
+     */
+    public CatalogItem at(StoreVersion next) {
+        return new CatalogItem(key, value, next);
+    }
 }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/ConfigurationConfirmation.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/ConfigurationConfirmation.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.peer;
 
 import java.util.OptionalLong;
+import org.ibissaddle.catalog.StoreVersion;
 
 /**
  * Remembers when the local configuration was last known to be the one in force: when the store answered a call, or when
@@ -22,17 +23,17 @@
     }
 
     /**
-     * Records a message of another instance. An instance that has not read the store since its start knows no revision
+     * Records a message of another instance. An instance that has not read the store since its start knows no version
      * and confirms nothing.
      *
      * @param sender the state that the instance sent itself
      * @param hasAllChanges whether the message brought all changes that the local instance lacked
-     * @param localRevision highest revision of the local instance, after the changes in the message
+     * @param localVersion latest version that the local instance knows, after the changes in the message
      * @param nowMs current time, milliseconds
      */
-    public void recordMessage(PeerState sender, boolean hasAllChanges, long localRevision, long nowMs) {
-        boolean knowsNothingNewer = hasAllChanges || sender.revision() <= localRevision;
-        if (sender.platformReachable() && sender.revision() > 0 && knowsNothingNewer) {
+    public void recordMessage(PeerState sender, boolean hasAllChanges, StoreVersion localVersion, long nowMs) {
+        boolean knowsNothingNewer = hasAllChanges || !sender.storeVersion().isAfter(localVersion);
+        if (sender.platformReachable() && sender.storeVersion().isAfter(StoreVersion.NONE) && knowsNothingNewer) {
             latestMs = OptionalLong.of(nowMs);
         }
     }
--- a/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/peer/PeerState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -19,7 +20,8 @@
  * @param peerAddress address for other instances
  * @param ready whether it accepts requests from callers
  * @param draining whether it is shutting down; callers are sent to it only when no ready instance is preferred
- * @param revision highest platform revision that it has read; 0 if another instance relayed the state
+ * @param storeVersion latest version of the platform's store that it knows; {@link StoreVersion#NONE} if another
+ *     instance relayed the state
  * @param platformReachable whether its calls to the platform's store succeed; false if it makes none
  * @param knownInstances number of instances that it knows, including itself; 0 if it has an earlier version
  * @param services load of the backend servers in its region, by service; empty within the region
@@ -39,7 +41,7 @@
         Address peerAddress,
         boolean ready,
         boolean draining,
-        long revision,
+        StoreVersion storeVersion,
         boolean platformReachable,
         int knownInstances,
         Map<String, ServiceLoad> services,
@@ -63,7 +65,7 @@
      * @param peerAddress address for other instances
      * @param ready whether it accepts requests from callers
      * @param draining whether it is shutting down
-     * @param revision highest platform revision that it has read
+     * @param storeVersion latest version of the platform's store that it knows
      * @param platformReachable whether it can reach the platform
      * @param knownInstances number of instances that it knows, including itself
      * @param services load of the backend servers in its region, by service
@@ -78,7 +80,7 @@
             Address peerAddress,
             boolean ready,
             boolean draining,
-            long revision,
+            StoreVersion storeVersion,
             boolean platformReachable,
             int knownInstances,
             Map<String, ServiceLoad> services) {
@@ -92,7 +94,7 @@
                 peerAddress,
                 ready,
                 draining,
-                revision,
+                storeVersion,
                 platformReachable,
                 knownInstances,
                 services,
@@ -131,7 +133,7 @@
                 peerAddress,
                 ready,
                 draining,
-                revision,
+                storeVersion,
                 platformReachable,
                 knownInstances,
                 loads,
--- a/ibissaddle-core/src/test/java/org/ibissaddle/catalog/CatalogTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/catalog/CatalogTest.java
@@ -43,8 +43,12 @@
         };
     }
 
+    private static StoreVersion at(long revision) {
+        return new StoreVersion(0, revision);
+    }
+
     private static CatalogItem item(String key, String value, long revision) {
-        return new CatalogItem(key, value, revision);
+        return new CatalogItem(key, value, at(revision));
     }
 
     @Nested
@@ -81,17 +85,26 @@
         void shouldRemoveKeysMissingFromAFullListing() {
             catalog.apply(List.of(item("server", "ready", 3), item("evacuation", "{}", 4)), 0);
 
-            catalog.applySnapshot(List.of(item("evacuation", "{}", 4)), 10, 0);
+            catalog.applySnapshot(List.of(item("evacuation", "{}", 4)), at(10), 0);
 
             assertThat(catalog.servers()).isEmpty();
             assertThat(catalog.isEvacuated(new Zone("north-a"))).isTrue();
         }
 
+        /** Guards against a late message that brings back what was removed before the instance started. */
+        @Test
+        void shouldIgnoreEntriesThatWereRemovedBeforeTheListing() {
+            catalog.applySnapshot(List.of(item("evacuation", "{}", 4)), at(10), 0);
+
+            assertThat(catalog.apply(List.of(item("server", "ready", 9)), 0)).isEmpty();
+            assertThat(catalog.apply(List.of(item("server", "ready", 11)), 0)).hasSize(1);
+        }
+
         @Test
         void shouldKeepKeysNewerThanTheListing() {
             catalog.apply(List.of(item("server", "ready", 12)), 0);
 
-            catalog.applySnapshot(List.of(), 10, 0);
+            catalog.applySnapshot(List.of(), at(10), 0);
 
             assertThat(catalog.servers()).containsKey(SERVER);
         }
@@ -123,6 +136,18 @@
             assertThat(catalog.servers()).containsKey(SERVER);
         }
 
+        /** Guards against a late message that brings a removed server back within the grace period. */
+        @Test
+        void shouldNotCancelARemovalForAnEarlierEntry() {
+            catalog.apply(List.of(item("server", "ready", 3)), 0);
+            catalog.startGracePeriod(1_000);
+            catalog.apply(List.of(item("server", null, 5)), 1_100);
+
+            catalog.apply(List.of(item("server", "ready", 4)), 1_200);
+
+            assertThat(catalog.applyDeferredRemovals(9_000)).hasSize(1);
+        }
+
         @Test
         void shouldRemoveAServerImmediatelyOutsideTheGracePeriod() {
             catalog.apply(List.of(item("server", "ready", 3)), 0);
@@ -142,7 +167,7 @@
             catalog.startGracePeriod(1_000);
             catalog.apply(List.of(item("server", null, 5)), 1_100);
 
-            assertThat(catalog.changesAfter(3)).containsExactly(item("server", null, 5));
+            assertThat(catalog.changesAfter(at(3))).containsExactly(item("server", null, 5));
             assertThat(catalog.graceLeftMs(1_100)).isEqualTo(Catalog.REPUBLISH_GRACE_MS - 100);
         }
 
@@ -169,13 +194,13 @@
         @Test
         void shouldReportFromWhichRevisionRemovalsAreKnown() {
             catalog.apply(List.of(item("server", "ready", 3)), 0);
-            assertThat(catalog.historyFrom()).isEqualTo(Long.MAX_VALUE);
+            assertThat(catalog.historyFrom()).isEqualTo(StoreVersion.MAX);
 
-            catalog.applySnapshot(List.of(item("server", "ready", 3)), 9, 0);
-            catalog.applySnapshot(List.of(), 12, 0);
+            catalog.applySnapshot(List.of(item("server", "ready", 3)), at(9), 0);
+            catalog.applySnapshot(List.of(), at(12), 0);
 
-            assertThat(catalog.historyFrom()).isEqualTo(9);
-            assertThat(catalog.changesAfter(9)).containsExactly(item("server", null, 12));
+            assertThat(catalog.historyFrom()).isEqualTo(at(9));
+            assertThat(catalog.changesAfter(at(9))).containsExactly(item("server", null, 12));
         }
     }
 }
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/ConfigurationConfirmationTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/ConfigurationConfirmationTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -28,14 +29,14 @@
                 address,
                 true,
                 false,
-                revision,
+                new StoreVersion(0, revision),
                 reachesStore,
                 2,
                 Map.of());
     }
 
     private boolean isConfirmedBy(PeerState sender, boolean hasAllChanges) {
-        confirmation.recordMessage(sender, hasAllChanges, REVISION, 0);
+        confirmation.recordMessage(sender, hasAllChanges, new StoreVersion(0, REVISION), 0);
         return confirmation.isRecent(MAX_AGE_MS, 0);
     }
 
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/EntryPointSelectorTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -29,7 +30,7 @@
                 address,
                 ready,
                 draining,
-                0,
+                StoreVersion.NONE,
                 true,
                 0,
                 Map.of());
@@ -59,7 +60,7 @@
                 state.peerAddress(),
                 state.ready(),
                 state.draining(),
-                0,
+                StoreVersion.NONE,
                 true,
                 0,
                 Map.of(),
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/ForwardingSpreadTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/ForwardingSpreadTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -46,7 +47,7 @@
                 address,
                 true,
                 false,
-                0,
+                StoreVersion.NONE,
                 true,
                 0,
                 Map.of(ENGINES, new ServiceLoad(30, waitMs)));
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/KnownPeers.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/KnownPeers.java
@@ -1,6 +1,7 @@
 package org.ibissaddle.peer;
 
 import java.util.Map;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -36,8 +37,20 @@
      * @param nowMs current time in milliseconds
      */
     public static void add(PeerTable peers, InstanceId id, Region region, Zone zone, int knownInstances, long nowMs) {
-        PeerState state =
-                new PeerState(id, 1, 1, region, zone, ADDRESS, ADDRESS, true, false, 1, true, knownInstances, Map.of());
+        PeerState state = new PeerState(
+                id,
+                1,
+                1,
+                region,
+                zone,
+                ADDRESS,
+                ADDRESS,
+                true,
+                false,
+                new StoreVersion(0, 1),
+                true,
+                knownInstances,
+                Map.of());
         peers.update(new RelayedState(state, 0), nowMs);
     }
 }
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerMessageRoundsTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -67,7 +68,7 @@
                     address,
                     !draining,
                     draining,
-                    1,
+                    new StoreVersion(0, 1),
                     true,
                     peers.knownInstances(),
                     recipient.equals(region) ? Map.of() : Map.of("engines", new ServiceLoad(1, 100)),
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerTableTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/PeerTableTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -32,7 +33,7 @@
                 address,
                 true,
                 false,
-                0,
+                StoreVersion.NONE,
                 true,
                 0,
                 load == null ? Map.of() : Map.of("engines", load),
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionSelectorTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/RegionSelectorTest.java
@@ -15,6 +15,7 @@
 import org.ibissaddle.backend.ServerSelectionResult;
 import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.catalog.ServerEntry;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -97,7 +98,7 @@
                 address,
                 true,
                 false,
-                0,
+                StoreVersion.NONE,
                 true,
                 0,
                 Map.of(ENGINES, new ServiceLoad(freeSlots, waitMs)));
--- a/ibissaddle-core/src/test/java/org/ibissaddle/peer/StoreReaderElectionTest.java
+++ b/ibissaddle-core/src/test/java/org/ibissaddle/peer/StoreReaderElectionTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -52,7 +53,7 @@
                     address,
                     true,
                     draining,
-                    1,
+                    new StoreVersion(0, 1),
                     access == Access.READS,
                     0,
                     Map.of(),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayCore.java
@@ -24,6 +24,7 @@
 import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.catalog.Catalog;
 import org.ibissaddle.catalog.CatalogEvent;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.daemon.log.DecisionLog;
@@ -504,7 +505,7 @@
     }
 
     private void logCatalogEvent(CatalogEvent event, String source) {
-        long revision = catalog.revision();
+        StoreVersion revision = catalog.version();
         switch (event) {
             case CatalogEvent.ServerPublished published -> logServer(published, source, revision);
             case CatalogEvent.ServerRemoved removed ->
@@ -528,7 +529,7 @@
         }
     }
 
-    private void logServer(CatalogEvent.ServerPublished published, String source, long revision) {
+    private void logServer(CatalogEvent.ServerPublished published, String source, StoreVersion revision) {
         log.notice(
                 "server-published",
                 "server",
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/GatewayMetrics.java
@@ -54,6 +54,16 @@
                 .update(waitedMs);
     }
 
+    /** Counts a new era of the platform's store, whose state is an older copy. */
+    void recordStoreEra() {
+        registry.counter("store_eras_total").inc();
+    }
+
+    /** Counts an answer of the store or changes of another instance that were ignored, since their era is over. */
+    void recordOutdatedEra() {
+        registry.counter("store_outdated_total").inc();
+    }
+
     /** Counts a request that was sent to a backend server. */
     void recordSent(String service, String server) {
         registry.counter("sent_total{service=\"" + service + "\",server=\"" + server + "\"}")
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerGossip.java
@@ -20,6 +20,7 @@
 import java.util.random.RandomGenerator;
 import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.catalog.CatalogItem;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.id.Address;
@@ -139,7 +140,7 @@
                 settings.peerAddress(),
                 flags.ready(),
                 flags.draining(),
-                core.catalog().revision(),
+                core.catalog().version(),
                 flags.platformReachable(),
                 core.peers().knownInstances(),
                 services,
@@ -197,8 +198,8 @@
     /**
      * Sends changes of the store to the instances of the zone that follow this one; their next round repeats losses.
      */
-    void pushChanges(long afterRevision) {
-        List<CatalogItem> changes = core.catalog().changesAfter(afterRevision);
+    void pushChanges(StoreVersion after) {
+        List<CatalogItem> changes = core.catalog().changesAfter(after);
         if (changes.size() > MAX_CHANGES) {
             return;
         }
@@ -207,7 +208,7 @@
                 changes,
                 Optional.of(core.settings().region()),
                 new PeerUpdate(List.of(), List.of(), List.of()),
-                createFeed(afterRevision, completeRevision(), true),
+                createFeed(after, completeVersion(), true),
                 false);
         for (PeerState state : core.peers().alive(core.nowMs())) {
             if (state.zone().equals(core.settings().zone()) && state.followsReader()) {
@@ -216,23 +217,19 @@
         }
     }
 
-    private long completeRevision() {
-        return store.map(StoreWatcher::completeRevision).orElse(0L);
+    private StoreVersion completeVersion() {
+        return store.map(StoreWatcher::completeVersion).orElse(StoreVersion.NONE);
     }
 
-    private PeerMessage.Feed createFeed(long afterRevision, long upToRevision, boolean pushed) {
-        return new PeerMessage.Feed(
-                afterRevision,
-                upToRevision,
-                core.catalog().historyFrom(),
-                core.catalog().graceLeftMs(core.nowMs()),
-                pushed);
+    private PeerMessage.Feed createFeed(StoreVersion after, StoreVersion upTo, boolean pushed) {
+        return PeerMessage.Feed.of(
+                after, upTo, core.catalog().historyFrom(), core.catalog().graceLeftMs(core.nowMs()), pushed);
     }
 
     private void send(Address target) {
         Optional<Region> region = core.peers().regionOf(target);
         PeerUpdate update = core.peers().request(region, random, core.nowMs());
-        long known = completeRevision();
+        StoreVersion known = completeVersion();
         boolean wantsChanges =
                 store.map(watcher -> watcher.asksForChanges(target)).orElse(false);
         PeerMessage.Feed feed = createFeed(known, known, false);
@@ -297,9 +294,9 @@
         if (message.feed() != null && sender.platformReachable()) {
             core.catalog().extendGracePeriod(message.feed().graceMs(), nowMs);
         }
-        List<CatalogEvent> events = core.catalog().apply(message.changes(), nowMs);
-        store.ifPresent(watcher -> watcher.onPeerMessage(sender, message.feed()));
-        core.confirmation().recordMessage(sender, hasAllChanges, core.catalog().revision(), nowMs);
+        List<CatalogEvent> events = store.map(watcher -> watcher.applyPeerMessage(sender, message))
+                .orElseGet(() -> core.catalog().apply(message.items(), nowMs));
+        core.confirmation().recordMessage(sender, hasAllChanges, core.catalog().version(), nowMs);
         if (!message.changes().isEmpty()) {
             core.applyCatalogEvents(events, "peer");
             core.markServersKnown();
@@ -307,16 +304,20 @@
     }
 
     private PeerMessage createResponse(PeerMessage request, PeerUpdate received) {
-        List<CatalogItem> changes = request.wantsChanges() && core.catalog().revision() > request.knownRevision()
-                ? core.catalog().changesAfter(request.knownRevision()).stream()
-                        .sorted(Comparator.comparingLong(CatalogItem::revision))
-                        .limit(MAX_CHANGES)
-                        .toList()
-                : List.of();
-        boolean isCut = changes.size() == MAX_CHANGES;
-        long known = completeRevision();
+        StoreVersion requested = request.knownVersion();
+        // The recipient can't tell what an era lacks from a part of its state.
+        boolean wholeEra = requested.era() < core.catalog().version().era();
+        List<CatalogItem> changes =
+                request.wantsChanges() && core.catalog().version().isAfter(requested)
+                        ? core.catalog().changesAfter(requested).stream()
+                                .sorted(Comparator.comparing(CatalogItem::version))
+                                .limit(wholeEra ? Long.MAX_VALUE : MAX_CHANGES)
+                                .toList()
+                        : List.of();
+        boolean isCut = !wholeEra && changes.size() == MAX_CHANGES;
+        StoreVersion known = completeVersion();
         PeerMessage.Feed feed = request.wantsChanges()
-                ? createFeed(request.knownRevision(), isCut ? changes.getLast().revision() - 1 : known, false)
+                ? createFeed(requested, isCut ? changes.getLast().version().previous() : known, false)
                 : createFeed(known, known, false);
         PeerState sender = request.sender().toPeerState();
         Optional<Region> region = Optional.of(sender.region());
@@ -340,13 +341,14 @@
             boolean wantsChanges) {
         CrashUpdate promptParts = core.crashGuard().promptPartsFor(remoteRegion);
         CrashUpdate requests = core.crashGuard().requestsFor(remoteRegion);
+        StoreVersion known = store.map(StoreWatcher::knownVersion)
+                .orElseGet(() -> core.catalog().version());
         return new PeerMessage(
                 PeerMessage.State.of(localState(loadsFor(remoteRegion))),
                 others.stream().map(PeerMessage.AgedState::of).toList(),
-                store.map(StoreWatcher::knownRevision)
-                        .orElseGet(() -> core.catalog().revision()),
+                known.revision(),
                 wantsChanges,
-                changes,
+                changes.stream().map(PeerMessage.Change::of).toList(),
                 promptParts.marks().stream().map(PeerMessage.Mark::of).toList(),
                 promptParts.proofs().stream().map(PeerMessage.Proof::of).toList(),
                 requests.marks().stream().map(PeerMessage.Mark::of).toList(),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/PeerMessage.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.ibissaddle.backend.LeavingServer;
 import org.ibissaddle.catalog.CatalogItem;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -29,7 +30,7 @@
  *
  * @param sender the sender's state
  * @param others states of other instances, for recipients of an earlier version, which require the field
- * @param knownRevision highest revision of the platform's store that the sender has seen
+ * @param knownRevision highest revision of the platform's store that the sender has seen, in its era
  * @param wantsChanges whether the sender cannot reach the platform and requests the changes that it missed
  * @param changes changes that the recipient has missed
  * @param partMarks prompt parts that were in flight at a crash
@@ -49,7 +50,7 @@
         List<AgedState> others,
         long knownRevision,
         boolean wantsChanges,
-        List<CatalogItem> changes,
+        List<Change> changes,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Mark> partMarks,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Proof> partProofs,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Mark> requestMarks,
@@ -71,13 +72,14 @@
     }
 
     /**
-     * How far the changes in a message reach.
+     * How far the changes in a message reach. All revisions are those of the sender's era.
      *
      * @param after the message has all changes after this revision
      * @param upTo and up to this one
      * @param historyFrom revision from which the sender knows all removals
      * @param graceMs rest of the sender's grace period after an outage of the store, milliseconds
      * @param pushed whether the message was sent because of the changes; its response tells nothing else
+     * @param whole whether the message has all of the era's state, for a recipient of an earlier era
      */
     record Feed(
             @JsonProperty("a") long after,
@@ -88,10 +90,62 @@
             long graceMs,
 
             @JsonProperty("p") @JsonInclude(JsonInclude.Include.NON_DEFAULT)
-            boolean pushed) {
-        /** Returns whether an instance that knows all changes up to a revision knows them up to {@code upTo} now. */
-        boolean continues(long knownRevision) {
-            return upTo <= knownRevision || (after <= knownRevision && historyFrom <= knownRevision);
+            boolean pushed,
+
+            @JsonProperty("w") @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+            boolean whole) {
+        static Feed of(StoreVersion after, StoreVersion upTo, StoreVersion historyFrom, long graceMs, boolean pushed) {
+            boolean whole = after.era() < upTo.era();
+            return new Feed(
+                    whole ? 0 : after.revision(), upTo.revision(), historyFrom.revision(), graceMs, pushed, whole);
+        }
+    }
+
+    /** Returns the version up to which the changes in the message reach. */
+    StoreVersion upTo() {
+        return versionOf(feed.upTo());
+    }
+
+    /** Returns whether an instance that knows all changes up to a version knows them up to {@link #upTo} now. */
+    boolean continues(StoreVersion known) {
+        return !upTo().isAfter(known)
+                || (!versionOf(feed.after()).isAfter(known)
+                        && !versionOf(feed.historyFrom()).isAfter(known));
+    }
+
+    /** Returns whether the message has the whole state of an era that is later than that of a version. */
+    boolean beginsEraAfter(StoreVersion known) {
+        return feed != null && feed.whole() && sender.era() > known.era();
+    }
+
+    private StoreVersion versionOf(long revision) {
+        return new StoreVersion(sender.era(), revision);
+    }
+
+    StoreVersion knownVersion() {
+        return versionOf(knownRevision);
+    }
+
+    List<CatalogItem> items() {
+        return changes.stream().map(Change::toItem).toList();
+    }
+
+    /** A published value or its removal. */
+    record Change(
+            String key,
+            String value,
+            long revision,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era) {
+        static Change of(CatalogItem item) {
+            return new Change(
+                    item.key(),
+                    item.value(),
+                    item.version().revision(),
+                    item.version().era());
+        }
+
+        CatalogItem toItem() {
+            return new CatalogItem(key, value, new StoreVersion(era, revision));
         }
     }
 
@@ -174,6 +228,7 @@
             boolean ready,
             boolean draining,
             long revision,
+            @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era,
             boolean platformReachable,
             int knownInstances,
             Map<String, ServiceLoad> services,
@@ -191,7 +246,8 @@
                     state.peerAddress().toString(),
                     state.ready(),
                     state.draining(),
-                    state.revision(),
+                    state.storeVersion().revision(),
+                    state.storeVersion().era(),
                     state.platformReachable(),
                     state.knownInstances(),
                     state.services(),
@@ -211,7 +267,7 @@
                     Address.parse(peerAddress),
                     ready,
                     draining,
-                    revision,
+                    new StoreVersion(era, revision),
                     platformReachable,
                     knownInstances,
                     services == null ? Map.of() : services,
@@ -274,7 +330,7 @@
                     Address.parse(peerAddress),
                     (flags & READY) != 0,
                     (flags & DRAINING) != 0,
-                    0,
+                    StoreVersion.NONE,
                     (flags & PLATFORM_REACHABLE) != 0,
                     knownInstances,
                     Map.of(),
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseCollector.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/ResponseCollector.java
@@ -82,6 +82,13 @@
         call = core.client().send(endpoint, request, content, options, this);
     }
 
+    /** Ends the call; nothing is called afterwards. */
+    void cancel() {
+        if (finish()) {
+            call.cancel();
+        }
+    }
+
     @Override
     public void onResponseHead(HttpResponse head) {
         status = head.status().code();
--- a/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
+++ b/ibissaddle-daemon/src/main/java/org/ibissaddle/daemon/gateway/StoreWatcher.java
@@ -4,18 +4,25 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import org.ibissaddle.catalog.CatalogEvent;
 import org.ibissaddle.catalog.CatalogItem;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.peer.PeerState;
 import org.ibissaddle.peer.StoreReaderElection;
+import org.ibissaddle.platform.HeaderDecoder;
 import org.ibissaddle.platform.MalformedMessageException;
+import org.ibissaddle.platform.PlatformHeaders;
 import org.ibissaddle.platform.StoreItemDecoder;
 import org.ibissaddle.platform.StoreProtocol;
 
@@ -54,8 +61,13 @@
     private final Endpoint store;
     private final StoreReaderElection election;
     private final List<CatalogItem> listedItems = new ArrayList<>();
-    private long listRevision;
-    private long watchFrom;
+    private StoreVersion listVersion = StoreVersion.MAX;
+    private StoreVersion watchFrom = StoreVersion.NONE;
+    /** Latest era that an answer of the store or a message of another instance has named. */
+    private long era;
+
+    private Optional<ResponseCollector> currentCall = Optional.empty();
+    private Optional<Future<?>> nextCall = Optional.empty();
     private long responseDueMs;
     private long failingSinceMs = -1;
     private boolean following;
@@ -81,17 +93,17 @@
         return following;
     }
 
-    /** Revision up to which all changes are known, 0 before the store was listed. */
-    long completeRevision() {
+    /** Version up to which all changes are known, {@link StoreVersion#NONE} before the store was listed. */
+    StoreVersion completeVersion() {
         return watchFrom;
     }
 
     /**
-     * Revision after which another instance is asked for changes. An instance whose calls fail takes what others have,
+     * Version after which another instance is asked for changes. An instance whose calls fail takes what others have,
      * with gaps, and fills them when the store responds again; it must not ask for the same changes in each round.
      */
-    long knownRevision() {
-        return following ? watchFrom : core.catalog().revision();
+    StoreVersion knownVersion() {
+        return following ? watchFrom : core.catalog().version();
     }
 
     /** Whether to ask an instance for changes: a follower asks its readers only, so that it gets a change once. */
@@ -106,18 +118,77 @@
         return isReachable() ? List.of() : election.readers(running());
     }
 
-    /** Records what a message of another instance told about changes, after those were applied. */
-    void onPeerMessage(PeerState sender, PeerMessage.Feed feed) {
-        boolean isReader = feed != null && feed.upTo() > 0 && sender.platformReachable();
-        if (!isReader || watchFrom == 0 || !feed.continues(watchFrom)) {
+    /** Applies the changes in a message of another instance, which may be those of a new era of the store. */
+    List<CatalogEvent> applyPeerMessage(PeerState sender, PeerMessage message) {
+        List<CatalogEvent> events;
+        if (message.beginsEraAfter(core.catalog().version()) && !isReadingItself()) {
+            noticeEra(message.upTo().era(), "peer " + sender.id());
+            events = beginEra(message.items(), message.upTo());
+            watchFrom = message.upTo();
+        } else {
+            events = core.catalog().apply(message.items(), core.nowMs());
+        }
+        long senderEra = sender.storeVersion().era();
+        if (senderEra < era && !message.changes().isEmpty()) {
+            core.metrics().recordOutdatedEra();
+        }
+        recordFeed(sender, message);
+        if (senderEra > era && isReadingItself()) {
+            noticeEra(senderEra, "peer " + sender.id());
+            currentCall.ifPresent(ResponseCollector::cancel);
+            nextCall.ifPresent(next -> next.cancel(false));
+            list("");
+        }
+        return events;
+    }
+
+    /** Records how far the changes in a message reached, after those were applied. */
+    private void recordFeed(PeerState sender, PeerMessage message) {
+        boolean isReader = message.feed() != null && message.feed().upTo() > 0 && sender.platformReachable();
+        boolean knowsNothing = watchFrom.equals(StoreVersion.NONE);
+        if (!isReader || knowsNothing || message.upTo().era() != era || !message.continues(watchFrom)) {
             return;
         }
-        watchFrom = Math.max(watchFrom, feed.upTo());
+        watchFrom = StoreVersion.max(watchFrom, message.upTo());
         if (sender.zone().equals(core.settings().zone())) {
             election.recordReader(core.nowMs());
         }
     }
 
+    /** Whether this instance learns the state of the store from its own calls, which currently succeed. */
+    private boolean isReadingItself() {
+        return !following && failingSinceMs < 0;
+    }
+
+    private void noticeEra(long next, String source) {
+        if (next == era || watchFrom.equals(StoreVersion.NONE)) {
+            era = Math.max(era, next);
+            return;
+        }
+        core.log().notice("store-era", "era", next, "before", era, "revision", watchFrom, "source", source);
+        core.metrics().recordStoreEra();
+        era = next;
+    }
+
+    /** Replaces the state of an earlier era by that of the current one. */
+    private List<CatalogEvent> beginEra(List<CatalogItem> items, StoreVersion at) {
+        List<CatalogEvent> events = core.catalog().applySnapshot(items, at, core.nowMs());
+        core.log()
+                .notice(
+                        "store-era-begun",
+                        "revision",
+                        at,
+                        "items",
+                        items.size(),
+                        "changes",
+                        events.size(),
+                        "awaited",
+                        core.catalog().unconfirmedItems(),
+                        "configuration",
+                        core.configurationVersion());
+        return events;
+    }
+
     private List<PeerState> running() {
         return core.peers().alive(core.nowMs());
     }
@@ -129,7 +200,7 @@
     private void list(String afterKey) {
         if (afterKey.isEmpty()) {
             listedItems.clear();
-            listRevision = Long.MAX_VALUE;
+            listVersion = StoreVersion.MAX;
         }
         call(StoreProtocol.listTarget(StoreProtocol.ALL_KEYS, afterKey), 0, this::onList);
     }
@@ -140,22 +211,29 @@
             return;
         }
         try {
-            StoreProtocol.Page page = StoreProtocol.decodePage(body);
+            StoreProtocol.Page page = StoreProtocol.decodePage(body, era);
+            if (!listVersion.equals(StoreVersion.MAX) && listVersion.era() < era) {
+                list("");
+                return;
+            }
             page.items().stream()
                     .filter(item -> StoreItemDecoder.isRelevant(item.key()))
                     .forEach(listedItems::add);
-            listRevision = Math.min(listRevision, page.revision());
+            listVersion = StoreVersion.min(listVersion, page.version());
             onSuccess();
             if (page.hasMore() && !page.items().isEmpty()) {
                 list(page.items().getLast().key());
                 return;
             }
-            List<CatalogEvent> events = core.catalog().applySnapshot(listedItems, listRevision, core.nowMs());
+            boolean newEra = watchFrom.era() < era && !watchFrom.equals(StoreVersion.NONE);
+            List<CatalogEvent> events = newEra
+                    ? beginEra(listedItems, listVersion)
+                    : core.catalog().applySnapshot(listedItems, listVersion, core.nowMs());
             core.confirmation().recordStoreAnswer(core.nowMs());
             core.applyCatalogEvents(events, "store");
             core.markServersKnown();
-            long before = watchFrom;
-            watchFrom = Math.max(watchFrom, listRevision);
+            StoreVersion before = watchFrom;
+            watchFrom = StoreVersion.max(watchFrom, listVersion);
             pushChangesAfter(before);
             watchOrFollow(0);
         } catch (MalformedMessageException e) {
@@ -171,12 +249,12 @@
 
     private void watchOrFollow(long delayMs) {
         if (election.readsStore(running(), core.nowMs())) {
-            core.schedule(this::watch, delayMs);
+            scheduleCall(this::watch, delayMs);
             return;
         }
         following = true;
         core.log().notice("store-followed", "revision", watchFrom);
-        core.schedule(this::checkReaders, FOLLOWER_CHECK_MS);
+        scheduleCall(this::checkReaders, FOLLOWER_CHECK_MS);
     }
 
     /**
@@ -185,7 +263,7 @@
      */
     private void checkReaders() {
         if (!election.readsStore(running(), core.nowMs())) {
-            core.schedule(this::checkReaders, FOLLOWER_CHECK_MS);
+            scheduleCall(this::checkReaders, FOLLOWER_CHECK_MS);
             return;
         }
         following = false;
@@ -194,19 +272,26 @@
         resume();
     }
 
-    private void pushChangesAfter(long revision) {
-        if (revision > 0 && core.catalog().revision() > revision && election.pushesChanges(running())) {
-            core.peerGossip().pushChanges(revision);
+    private void pushChangesAfter(StoreVersion before) {
+        boolean changed =
+                !before.equals(StoreVersion.NONE) && core.catalog().version().isAfter(before);
+        if (changed && election.pushesChanges(running())) {
+            core.peerGossip().pushChanges(before);
         }
     }
 
+    private void scheduleCall(Runnable task, long delayMs) {
+        nextCall = Optional.of(core.schedule(task, delayMs));
+    }
+
     private void watch(long waitMs) {
         call(StoreProtocol.watchTarget(StoreProtocol.ALL_KEYS, watchFrom, waitMs), waitMs, this::onChanges);
     }
 
     private void onChanges(int status, byte[] body) {
-        if (status == StoreProtocol.STATUS_HISTORY_COMPACTED) {
-            core.log().notice("history-dropped", "revision", watchFrom);
+        boolean newEra = watchFrom.era() < era && status == OK;
+        if (newEra || status == StoreProtocol.STATUS_HISTORY_COMPACTED) {
+            core.log().notice("history-dropped", "revision", watchFrom, "newEra", watchFrom.era() < era);
             onSuccess();
             list("");
             return;
@@ -216,7 +301,7 @@
             return;
         }
         try {
-            StoreProtocol.Changes changes = StoreProtocol.decodeChanges(body);
+            StoreProtocol.Changes changes = StoreProtocol.decodeChanges(body, era);
             boolean regained = failingSinceMs >= 0;
             onSuccess();
             List<CatalogItem> relevant = changes.changes().stream()
@@ -225,8 +310,8 @@
             List<CatalogEvent> events = core.catalog().apply(relevant, core.nowMs());
             core.confirmation().recordStoreAnswer(core.nowMs());
             core.applyCatalogEvents(events, "store");
-            long before = watchFrom;
-            watchFrom = Math.max(watchFrom, changes.revision());
+            StoreVersion before = watchFrom;
+            watchFrom = StoreVersion.max(watchFrom, changes.version());
             if (!relevant.isEmpty()) {
                 pushChangesAfter(before);
             }
@@ -240,13 +325,41 @@
         responseDueMs = core.nowMs() + waitMs;
         HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, target);
         request.headers().set("Host", store.address().toString());
-        new ResponseCollector(
-                        core,
-                        waitMs + RESPONSE_TIMEOUT_MS,
-                        MAX_RESPONSE_BYTES,
-                        onResponse,
-                        failure -> onFailure(failure.reason()))
-                .send(store, request, Unpooled.EMPTY_BUFFER, OPTIONS);
+        AnswerEra answerEra = new AnswerEra();
+        ResponseCollector collector = new ResponseCollector(
+                core,
+                waitMs + RESPONSE_TIMEOUT_MS,
+                MAX_RESPONSE_BYTES,
+                answerEra::onHead,
+                (status, body) -> onAnswer(answerEra.orCurrent(), status, body, onResponse),
+                failure -> onFailure(failure.reason()));
+        currentCall = Optional.of(collector);
+        collector.send(store, request, Unpooled.EMPTY_BUFFER, OPTIONS);
+    }
+
+    /** Any answer may be the first one of a new era, refusals included, and a late one may be of an earlier era. */
+    private void onAnswer(long answerEra, int status, byte[] body, BiConsumer<Integer, byte[]> onResponse) {
+        if (answerEra < era) {
+            core.metrics().recordOutdatedEra();
+            core.log().notice("store-answer-ignored", "era", answerEra, "current", era, "status", status);
+            onFailure("answer of era " + answerEra);
+            return;
+        }
+        noticeEra(answerEra, "store");
+        onResponse.accept(status, body);
+    }
+
+    /** The era that the head of an answer names; a store that names none stays in its era. */
+    private final class AnswerEra {
+        private OptionalLong named = OptionalLong.empty();
+
+        void onHead(HttpResponse head) {
+            named = HeaderDecoder.decodeEra(head.headers().get(PlatformHeaders.STORE_ERA));
+        }
+
+        long orCurrent() {
+            return named.orElse(era);
+        }
     }
 
     private void onSuccess() {
@@ -268,11 +381,11 @@
             core.log().notice("store-lost", "reason", reason, "revision", watchFrom);
         }
         core.client().closeIdleConnections(store);
-        core.schedule(this::resume, waiting ? 0 : RETRY_DELAY_MS);
+        scheduleCall(this::resume, waiting ? 0 : RETRY_DELAY_MS);
     }
 
     private void resume() {
-        if (watchFrom == 0) {
+        if (watchFrom.equals(StoreVersion.NONE) || watchFrom.era() < era) {
             list("");
         } else {
             watch(0);
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakePlatformStore.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakePlatformStore.java
@@ -8,26 +8,39 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.ibissaddle.id.Address;
 
-/** A fake of the platform's store that serves lists and watches of the items put into it. */
+/**
+ * A fake of the platform's store that serves lists and watches of the items put into it. It names its era from its
+ * first return from a copy on.
+ */
 final class FakePlatformStore implements AutoCloseable {
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_HISTORY_COMPACTED = 410;
+
     private final HttpServer server;
-    private final List<String> changes = new ArrayList<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final AtomicInteger lists = new AtomicInteger();
     private final AtomicInteger watches = new AtomicInteger();
     private int waitingWatches;
     private int watchedRevision;
     private int cuts;
     private boolean down;
+    private long era;
+
+    private record Change(String key, String json, boolean removed) {}
 
     FakePlatformStore() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        server.createContext("/kv-range", exchange -> answer(exchange, "items", 0));
+        server.createContext("/kv-range", this::list);
         server.createContext("/kv-watch", this::watch);
         server.start();
     }
@@ -38,15 +51,33 @@
 
     synchronized void put(String key, String json) {
         String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
-        changes.add("{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d}".formatted(key, value, changes.size() + 1));
+        String change = "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d}".formatted(key, value, changes.size() + 1);
+        changes.add(new Change(key, change, false));
         notifyAll();
     }
 
     synchronized void remove(String key) {
-        changes.add("{\"key\":\"%s\",\"revision\":%d,\"removed\":true}".formatted(key, changes.size() + 1));
+        String change = "{\"key\":\"%s\",\"revision\":%d,\"removed\":true}".formatted(key, changes.size() + 1);
+        changes.add(new Change(key, change, true));
         notifyAll();
     }
 
+    /** Returns the revision of the latest change. */
+    synchronized int revision() {
+        return changes.size();
+    }
+
+    /** Comes back from a copy of an earlier revision, in a new era. Waiting watches go on to wait. */
+    synchronized void restoreCopy(int revision) {
+        changes.subList(revision, changes.size()).clear();
+        era++;
+    }
+
+    /** Returns the number of lists so far. */
+    int lists() {
+        return lists.get();
+    }
+
     @Override
     public void close() {
         server.stop(0);
@@ -103,15 +134,32 @@
             exchange.close();
             return;
         }
-        answer(exchange, "events", after);
+        if (after > changes.size()) {
+            send(exchange, STATUS_HISTORY_COMPACTED, "{}");
+            return;
+        }
+        send(exchange, STATUS_OK, body("events", changes.subList(after, changes.size())));
+    }
+
+    private synchronized void list(HttpExchange exchange) throws IOException {
+        lists.incrementAndGet();
+        Map<String, Change> items = new LinkedHashMap<>();
+        changes.forEach(change -> items.put(change.key(), change));
+        items.values().removeIf(Change::removed);
+        send(exchange, STATUS_OK, body("items", items.values()));
     }
 
-    private synchronized void answer(HttpExchange exchange, String list, int after) throws IOException {
-        String items = changes.stream().skip(after).collect(Collectors.joining(","));
-        byte[] body = "{\"%s\":[%s],\"hasMore\":false,\"at\":%d}"
-                .formatted(list, items, changes.size())
-                .getBytes(StandardCharsets.UTF_8);
-        exchange.sendResponseHeaders(200, body.length);
+    private String body(String list, Collection<Change> content) {
+        String items = content.stream().map(Change::json).collect(Collectors.joining(","));
+        return "{\"%s\":[%s],\"hasMore\":false,\"at\":%d}".formatted(list, items, changes.size());
+    }
+
+    private void send(HttpExchange exchange, int status, String json) throws IOException {
+        byte[] body = json.getBytes(StandardCharsets.UTF_8);
+        if (era > 0) {
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+        }
+        exchange.sendResponseHeaders(status, body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
     }
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/IsolationTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/IsolationTest.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.ibissaddle.catalog.CatalogItem;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.daemon.http.Endpoint;
 import org.ibissaddle.daemon.http.HttpClient;
 import org.ibissaddle.daemon.log.DecisionLog;
@@ -112,7 +113,7 @@
 
     private static CatalogItem item(String key, String json, long revision) {
         String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
-        return new CatalogItem(key, value, revision);
+        return new CatalogItem(key, value, new StoreVersion(0, revision));
     }
 
     private void publish(CatalogItem item) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/OwnFailureTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/OwnFailureTest.java
@@ -25,6 +25,7 @@
 import org.ibissaddle.backend.BackendServer;
 import org.ibissaddle.backend.RequestDemand;
 import org.ibissaddle.catalog.CatalogItem;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.daemon.log.DecisionLog;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -113,7 +114,8 @@
 
     private void publish(String key, String json, long revision) {
         String value = Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8));
-        core.applyCatalogEvents(core.catalog().apply(List.of(new CatalogItem(key, value, revision)), 0), "test");
+        core.applyCatalogEvents(
+                core.catalog().apply(List.of(new CatalogItem(key, value, new StoreVersion(0, revision))), 0), "test");
     }
 
     private HttpResponseStatus call() {
@@ -162,7 +164,7 @@
                 server.address(),
                 true,
                 false,
-                0,
+                StoreVersion.NONE,
                 true,
                 2,
                 Map.of());
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PeerTrafficTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/PeerTrafficTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.ibissaddle.catalog.StoreVersion;
 import org.ibissaddle.id.Address;
 import org.ibissaddle.id.InstanceId;
 import org.ibissaddle.id.Region;
@@ -24,6 +25,7 @@
 
 /** Measures the bodies of the messages between the instances of an idle deployment of six zones in three regions. */
 class PeerTrafficTest {
+    private static final StoreVersion STORE = new StoreVersion(1, 12_345);
     private static final long ROUND_MS = 500;
     private static final int START_ROUNDS = 20;
     private static final int ROUNDS = 60;
@@ -70,7 +72,7 @@
                     address,
                     true,
                     false,
-                    12_345,
+                    STORE,
                     true,
                     peers.knownInstances(),
                     loads,
@@ -98,7 +100,7 @@
             PeerMessage message = new PeerMessage(
                     PeerMessage.State.of(sent),
                     List.of(),
-                    12_345,
+                    STORE.revision(),
                     false,
                     List.of(),
                     List.of(),
@@ -109,7 +111,7 @@
                     update.states().stream().map(PeerMessage.CompactState::of).toList(),
                     HeartbeatText.encode(update.heartbeats()),
                     update.loads().stream().map(PeerMessage.Load::of).toList(),
-                    new PeerMessage.Feed(12_345, 12_345, 12_000, 0, false));
+                    PeerMessage.Feed.of(STORE, STORE, new StoreVersion(1, 12_000), 0, false));
             int bytes = mapper.writeValueAsBytes(message).length;
             totalBytes += bytes;
             bytesBetweenZones += recipient.zone.equals(zone) ? 0 : bytes;
