Soak: the store comes back from older copies

The stand-in of the store names an era, may lose its latest changes and gives out their revisions again; the writers repeat what was lost up to 1.5 s later. The soak draws it beside its other faults.

--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/GatewaySoak.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/GatewaySoak.java
@@ -127,6 +127,7 @@
         try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
             callers.execute(() -> injectServerFaults(endNs));
             callers.execute(() -> restartInstances(endNs));
+            callers.execute(() -> restoreStore(endNs));
             SplittableRandom random = new SplittableRandom(seed);
             for (int i = 0; System.nanoTime() < endNs; i++) {
                 int number = i;
@@ -225,6 +226,22 @@
         }
     }
 
+    /** The store comes back from copies; what was lost is written again some time later. */
+    private void restoreStore(long endNs) {
+        SplittableRandom random = new SplittableRandom(seed + 3);
+        try {
+            while (System.nanoTime() < endNs) {
+                Thread.sleep(1_000 + random.nextInt(3_000));
+                Map<String, Optional<String>> lost = store.restoreCopy(random.nextInt(6));
+                int revision = store.revision();
+                Thread.sleep(random.nextInt(1_500));
+                store.repeat(lost, revision);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void start(Node node) throws IOException {
         String seeds = nodes.stream()
                 .filter(other -> other != node)
