--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakePlatformStore.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/FakePlatformStore.java
@@ -122,7 +122,7 @@
         watchedRevision = after;
         notifyAll();
         try {
-            while (changes.size() <= after && cuts == cutsBefore && !down && System.currentTimeMillis() < untilMs) {
+            while (changes.size() == after && cuts == cutsBefore && !down && System.currentTimeMillis() < untilMs) {
                 wait(Math.max(1, untilMs - System.currentTimeMillis()));
             }
         } catch (InterruptedException e) {
--- a/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/StoreEraTest.java
+++ b/ibissaddle-daemon/src/test/java/org/ibissaddle/daemon/gateway/StoreEraTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Load pattern: the store comes back from a copy some seconds old while requests go on. */
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class StoreEraTest {
     private static final String ROUTE = """
             {"name":"%1$s","host":"h.example","pathPrefix":"/%1$s/","kind":"idempotent","timeoutMs":3000,
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/MetadataStore.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/MetadataStore.java
@@ -93,7 +93,7 @@
         int after = Integer.parseInt(query.replaceAll(".*after=(\\d+).*", "$1"));
         long untilMs = System.currentTimeMillis() + Long.parseLong(query.replaceAll(".*waitMs=(\\d+).*", "$1"));
         try {
-            while (changes.size() <= after && System.currentTimeMillis() < untilMs) {
+            while (changes.size() == after && System.currentTimeMillis() < untilMs) {
                 wait(Math.max(1, untilMs - System.currentTimeMillis()));
             }
         } catch (InterruptedException e) {
