--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/GatewaySoak.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/GatewaySoak.java
@@ -226,12 +226,19 @@
         }
     }
 
-    /** The store comes back from copies; what was lost is written again some time later. */
+    /**
+     * The store comes back from copies. What was lost is written again some time later, or at once and with so much
+     * more that the revisions known to the instances are passed before they ask.
+     */
     private void restoreStore(long endNs) {
         SplittableRandom random = new SplittableRandom(seed + 3);
         try {
             while (System.nanoTime() < endNs) {
                 Thread.sleep(1_000 + random.nextInt(3_000));
+                if (random.nextBoolean()) {
+                    store.restoreCopyAndPassIt(random.nextInt(6));
+                    continue;
+                }
                 Map<String, Optional<String>> lost = store.restoreCopy(random.nextInt(6));
                 int revision = store.revision();
                 Thread.sleep(random.nextInt(1_500));
--- a/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/MetadataStore.java
+++ b/ibissaddle-proof/src/test/java/org/ibissaddle/proof/gateway/MetadataStore.java
@@ -75,6 +75,18 @@
         return latest;
     }
 
+    /**
+     * Comes back in the same way, with what was lost and further changes, so that its revision is higher than before.
+     */
+    synchronized void restoreCopyAndPassIt(int lostChanges) {
+        int before = revision();
+        Map<String, Optional<String>> lost = restoreCopy(lostChanges);
+        repeat(lost, revision());
+        while (revision() <= before) {
+            write("other/key", "");
+        }
+    }
+
     /** Repeats lost changes, except those of keys that have been written since. */
     synchronized void repeat(Map<String, Optional<String>> lost, int sinceRevision) {
         Map<String, Optional<String>> due = new LinkedHashMap<>(lost);
