--- a/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
+++ b/ibissaddle-core/src/main/java/org/ibissaddle/catalog/Catalog.java
@@ -85,10 +85,7 @@
                 continue;
             }
             CatalogItem current = items.get(change.key());
-            if ((current == null && !change.version().isAfter(listedAt))
-                    || isKnown(change, current)
-                    || isKnown(change, deferredRemovals.get(change.key()))
-                    || isKnown(change, unconfirmedEvacuations.get(change.key()))) {
+            if (isOutdated(change, current)) {
                 continue;
             }
             version = StoreVersion.max(version, change.version());
@@ -126,7 +123,10 @@
             unconfirmedUntilMs = nowMs + EVACUATION_GRACE_MS;
         }
         StoreVersion listedBefore = listedAt;
-        listedAt = at.isAfter(listedAt) ? StoreVersion.NONE : listedAt;
+        if (at.isAfter(listedAt)) {
+            // An earlier listing does not tell what a later one may have.
+            listedAt = StoreVersion.NONE;
+        }
         List<CatalogEvent> events = new ArrayList<>(apply(all, nowMs));
         listedAt = StoreVersion.max(listedBefore, at);
         Set<String> present = new HashSet<>();
@@ -282,6 +282,15 @@
         return nowMs < graceUntilMs || nowMs < otherGraceUntilMs;
     }
 
+    /** Returns whether a later change of the key is known, or its removal. */
+    private boolean isOutdated(CatalogItem change, CatalogItem current) {
+        boolean removedBeforeListing = current == null && !change.version().isAfter(listedAt);
+        return removedBeforeListing
+                || isKnown(change, current)
+                || isKnown(change, deferredRemovals.get(change.key()))
+                || isKnown(change, unconfirmedEvacuations.get(change.key()));
+    }
+
     private static boolean isKnown(CatalogItem change, CatalogItem known) {
         return known != null && !change.version().isAfter(known.version());
     }
